--- a/balancer.go
+++ b/balancer.go
@@ -368,11 +368,12 @@
 	return !aFull && b.send(r, a) || !cFull && b.send(r, c)
 }
 
-// probe asks what was drawn for its figures if the last are old, for the requests to come. Danger: one that waited
-// for the answers would wait a round trip to the farthest zone, which no setting tells, and servers cap probes.
+// probe asks what was drawn for its figures if the last are old, for the requests to come, where no answer tells
+// them. Danger: at few requests an agent all reports are old, and a fleet would probe more than it sends. One that
+// waited for the answers would wait a round trip to the farthest zone, which no setting tells.
 func (b *Balancer) probe(r *request, pair ...*server) {
 	for _, s := range pair {
-		if !b.set.Probes || b.set.Reports == ReportsOff || s == nil || s.probing ||
+		if !b.set.Probes || b.set.Reports != ReportsOnProbe || s == nil || s.probing ||
 			s.load.Known && b.now-s.loadAt < seconds(fresh*r.class.usual.v) {
 			continue
 		}
