Start the watch from the known list's revision, not from the whole list

Discovery answered some five whole lists a second; 80 first calls in 6 s are 13, and once calls wait longer than its limit it works for nobody. The retries, 10 s apart at the most, are still 7 a second and keep it there.

Ruled out: that the agents gave up too early (all failures were 503s, none a time-out) and that they did not ask (all were in the log).

To blame: internal/agent/discovery.go get asked for the whole list until one had come, though the configuration brings the list and its revision.

The new line "list" says when an agent stopped going by its old list.

--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -156,12 +156,20 @@
 		t.Fatal(err)
 	}
 	lines := bufio.NewScanner(stderr)
+	scan := func() bool { // the next line that is not about a list
+		for lines.Scan() {
+			if !strings.Contains(lines.Text(), "msg=list ") {
+				return true
+			}
+		}
+		return false
+	}
 	follows(t, asked)
 	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	notify(t, cmd, syscall.SIGHUP)
-	if !lines.Scan() || !strings.Contains(lines.Text(), "not reloaded") {
+	if !scan() || !strings.Contains(lines.Text(), "not reloaded") {
 		t.Fatalf("a bad file is told as %q", lines.Text())
 	}
 	next := path + ".new"
@@ -173,7 +181,7 @@
 	}
 	notify(t, cmd, syscall.SIGHUP)
 	follows(t, askedSecond)
-	if !lines.Scan() || !strings.Contains(lines.Text(), "reloaded") || !strings.Contains(lines.Text(), second) {
+	if !scan() || !strings.Contains(lines.Text(), "reloaded") || !strings.Contains(lines.Text(), second) {
 		t.Errorf("a good file is told as %q", lines.Text())
 	}
 	notify(t, cmd, syscall.SIGTERM)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,7 @@
 		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
 	}
 	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
+	d.startFrom(cfg.known)
 	l.follow = d.asked
 	go l.run(work)
 	tell(grebefork.ListCached, cfg.known.Members)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -94,12 +94,23 @@
 	client http.Client
 	log    *slog.Logger
 
+	started  time.Time
 	revision *uint64 // of the list held; nil when the whole list is wanted
 }
 
+// startFrom makes the list that the agent held before its start the one that changes follow. Danger: discovery works
+// through calls in turn and drops those that waited too long, only after its work on them; agents that start together
+// and all ask for the whole list keep it busy for good with calls that nobody waits for any more.
+func (d *discovery) startFrom(known memberList) {
+	if known.Complete && len(known.Members) > 0 {
+		d.revision = known.Revision
+	}
+}
+
 func newDiscovery(addr string, ask bool, tell func(grebefork.ListMode, []member), log *slog.Logger) *discovery {
 	return &discovery{
 		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, log: log,
+		started: time.Now(),
 		client: http.Client{
 			Transport: &http.Transport{
 				MaxConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
@@ -184,6 +195,7 @@
 		wait = askWatch
 	}
 	for {
+		began := time.Now()
 		l, err := d.get(ctx, wait)
 		if err == nil {
 			err = ctx.Err() // an answer that crossed a reload is another service's
@@ -191,6 +203,10 @@
 		if err != nil {
 			return heard, err
 		}
+		if !heard { // until then the agent went by an older list
+			d.log.Info("list", "revision", *l.Revision, "complete", l.Complete, "members", len(l.Members),
+				"took", time.Since(began), "since_start", time.Since(d.started))
+		}
 		heard = true
 		switch {
 		case l.Complete:
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -61,6 +61,38 @@
 		id, addr, cell, phase)
 }
 
+// An agent that starts with a known list asks for what has changed since, and for the whole list where discovery does
+// not know that revision any more, or the known list is no whole one.
+func TestStartsFromTheKnownList(t *testing.T) {
+	x := newBackend(t, serves)
+	member := host("x", x.addr, "Ready", 0)
+	for _, c := range []struct {
+		known, change string
+		want          []string
+	}{
+		{string(hosts(7, true, member)), string(hosts(8, false)), []string{"after=7&wait_ms=", "after=8&wait_ms="}},
+		{string(hosts(7, true, member)), string(hosts(3, false)), []string{"after=7&wait_ms=", "", "after=1&wait_ms="}},
+		{string(hosts(7, false, member)), "", []string{"", "after=1&wait_ms="}},
+		{string(hosts(7, true)), "", []string{"", "after=1&wait_ms="}},
+	} {
+		l := newLists(t, hosts(1, true, member))
+		cfg := config(t, l.Listener.Addr().String(), testSettings)
+		var err error
+		if cfg.known, err = parseList([]byte(c.known)); err != nil {
+			t.Fatal(err)
+		}
+		start(t, cfg)
+		for i, want := range c.want {
+			if q := receive(t, "call", l.calls); !strings.HasPrefix(q, want) || want == "" && q != "" {
+				t.Errorf("known %s: call %d asks %q, want %q", c.known, i, q, want)
+			}
+			if i == 0 && c.change != "" {
+				l.next <- []byte(c.change)
+			}
+		}
+	}
+}
+
 // A backend that drains gets nothing new once a watch has told so, and its list is followed without a gap.
 func TestDrain(t *testing.T) {
 	x, y := newBackend(t, serves), newBackend(t, serves)
