--- a/balancer.go
+++ b/balancer.go
@@ -23,34 +23,31 @@
 	speedStep       = 0.1  // change of speed that is worth a new line; less is noise
 	gain            = 0.15 // weight of a sample of one server: a dozen settle a mean
 	fleetGain       = gain / 4
-	widthGain       = 0.0005 // width is the machines': a jam has more in work and is not to pass for it
-	kindDoubt       = 8.0    // answers after which a kind's learnt speed counts as much as the list's weights
-	maxSlow         = 8.0    // slower than this is the business of ejection
-	forget          = 40.0   // usual answers' time after which half of a learnt speed is forgotten
-	fresh           = 2.0    // usual answers' time that a report is news and no probe is due
-	reportLife      = 6.0    // service times that half of a report's news lasts, as queues do
-	fullFor         = 3.0    // usual answers' time that a server which was full stays passed by
-	fullDoubles     = 4      // times that this doubles until it answers
-	ejectShare      = 0.3    // of the servers at most, or one: more looking bad at once is overload or our own blindness
-	ejectFor        = 4.0    // aims that a first ejection lasts
-	ejectDoubles    = 3      // times that this doubles while the server stays bad
-	patience        = 6.0    // usual answers' time until an attempt counts as hanging,
-	leastPatience   = 1      // at least this part of the aim: quick answers come in bursts
-	askSlot         = 0.3    // seconds between two agents' first calls for the list
-	single          = 0.34   // of one that a failure counts soon after an answer: three in a row eject
-	deadResets      = 3      // resets of connections without an answer between them: the server has died
-	coldMargin      = 0.5    // of overloadFactor that a cold server is sent; the rest is for peaks
-	retryRatio      = 0.2    // retry budget where none is stated: further attempts for each request, as usual
-	retryFloor      = 3.0    // and so many besides,
-	retrySpan       = 5.0    // in any so many seconds
-	aimShare        = 0.5    // of the aim that a usual answer may take before work is shed
-	mostPressure    = 2.0    // clients that repeat what is refused take more than one refusal to stop
-	slack           = 1.0    // pressure that queues of single servers build: it sheds nothing
-	pressureGain    = 0.2    // of the intake shed for an answer one aim off: a few late answers halve it
-	easeOver        = 16.0   // aims in which pressure halves by itself
-	trickle         = 0.03   // let through under any pressure, to learn when it is over
-	mixPrior        = 10.0   // requests' worth of belief in the tenants' stated shares
-	mixLife         = 200    // requests over which the tenants' mix is remembered
+	kindDoubt       = 8.0  // answers after which a kind's learnt speed counts as much as the list's weights
+	maxSlow         = 8.0  // slower than this is the business of ejection
+	fresh           = 2.0  // usual answers' time that a report is news and no probe is due
+	reportLife      = 6.0  // service times that half of a report's news lasts, as queues do
+	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
+	ejectShare      = 0.3  // of the servers at most, or one: more looking bad at once is overload or our own blindness
+	ejectFor        = 4.0  // aims that a first ejection lasts
+	ejectDoubles    = 3    // times that this doubles while the server stays bad
+	patience        = 6.0  // usual answers' time until an attempt counts as hanging,
+	leastPatience   = 1    // at least this part of the aim: quick answers come in bursts
+	askSlot         = 0.3  // seconds between two agents' first calls for the list
+	single          = 0.34 // of one that a failure counts soon after an answer: three in a row eject
+	deadResets      = 3    // resets of connections without an answer between them: the server has died
+	coldMargin      = 0.5  // of overloadFactor that a cold server is sent; the rest is for peaks
+	retryRatio      = 0.2  // retry budget where none is stated: further attempts for each request, as usual
+	retryFloor      = 3.0  // and so many besides,
+	retrySpan       = 5.0  // in any so many seconds
+	aimShare        = 0.5  // of the aim that a usual answer may take before work is shed
+	mostPressure    = 2.0  // clients that repeat what is refused take more than one refusal to stop
+	slack           = 1.0  // pressure that queues of single servers build: it sheds nothing
+	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
+	easeOver        = 16.0 // aims in which pressure halves by itself
+	trickle         = 0.03 // let through under any pressure, to learn when it is over
+	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
+	mixLife         = 200  // requests over which the tenants' mix is remembered
 )
 
 // --- The list ---
@@ -124,9 +121,7 @@
 
 // slower takes in a sample of how many times slower than usual a server is.
 func (b *Balancer) slower(s *server, ratio, weight float64) {
-	s.slow = 1 + (s.slow-1)*math.Exp2(-(b.now-s.learntAt).Seconds()/(forget*b.classes[0].usual.v))
 	s.slow += weight * (min(max(ratio, 1/maxSlow), maxSlow) - s.slow)
-	s.learntAt = b.now
 	if math.Abs(b.speed(s)*b.warmth(s)-s.built) > speedStep*s.built {
 		b.epoch++
 	}
@@ -148,35 +143,17 @@
 	if l.InFlight < 0 && l.Queue >= 0 {
 		// Danger: where reports tell only who waits, a server with a long queue would look like an idle one.
 		if l.InFlight = l.Queue; l.Queue > 0 {
-			l.InFlight += b.width()
+			l.InFlight++
 		}
 	}
-	if s.load, s.loadAt, s.since = l, b.now, 0; l.Recent > 0 {
-		if running := l.Rate * l.Recent.Seconds(); l.InFlight >= 2 && running > 0 {
-			b.widths++
-			b.running.add(min(running, l.InFlight, 4*b.running.v+4), max(widthGain, 1/b.widths))
-		}
-	}
-	// Danger: where most is shed few answers come, and only reports of idle servers can end that.
-	if width := b.width(); b.tellsCrowd(s) {
-		over := max(0, l.InFlight-width)
-		part := over / (2 * b.crowd * math.Sqrt(width))
-		if !b.running.known { // what is in work is not told, only who waits: one server's queue is not the fleet's
-			part = min(part, 0.9*aimShare)
-		}
-		b.press(min(1, part))
+	s.load, s.loadAt, s.since = l, b.now, 0
+	// Danger: where most is shed few answers come, and only reports of idle servers can end that. One server's queue
+	// is not the fleet's.
+	if s.tellsQueue() {
+		b.press(min(max(0, l.InFlight-1)/(2*b.crowd), 0.9*aimShare))
 	}
 }
 
-// tellsCrowd says whether a server's reports say how crowded it is.
-func (b *Balancer) tellsCrowd(s *server) bool {
-	return s.tellsQueue() || s.load.Known && s.load.InFlight >= 0 && b.running.known
-}
-
-// width is how many requests a server has in work when it is just busy. Danger: were it learnt for each kind,
-// one that is sent little would look narrow, so crowded, and be sent less.
-func (b *Balancer) width() float64 { return max(1, math.Floor(b.running.v+0.5)) }
-
 // --- The line ---
 
 // eligible is placement: whether a class may ever go to a server.
@@ -291,7 +268,7 @@
 
 // held is what a server has in hand: our own attempts, or its report as far as that holds, or the usual.
 func (b *Balancer) held(s *server) float64 {
-	held, own := b.running.v, float64(s.inFlight)
+	held, own := 0.0, float64(s.inFlight)
 	if s.load.Known && s.load.InFlight >= 0 {
 		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
 		// while. Of those that are silent a fresh report knows better, but not of those on their way.
@@ -299,7 +276,7 @@
 		held += (s.load.InFlight-held)*news + float64(s.since)
 		own -= news * float64(s.silent)
 	}
-	if s.tellsQueue() && !b.running.known {
+	if s.tellsQueue() {
 		held = (held + own) / 2 // who waits was counted a while ago, and who is in work is a guess
 	}
 	return max(held, own)
@@ -316,19 +293,14 @@
 // crowded says that a request would be late behind what the server holds, or help to jam it. Who had room is
 // not crowded: where nobody sends, old figures stay for good.
 func (b *Balancer) crowded(r *request, s *server) bool {
-	held, width := b.held(s), b.width()
+	held := b.held(s)
 	switch {
 	case b.now < s.full: // it had no room
 		return true
-	case !s.load.Known || held < width:
+	case !s.load.Known || held < 1:
 		return false
 	}
-	wait, left := (held+1)/width*b.each(s), (r.aim - b.now).Seconds()
-	most := b.crowd * math.Sqrt(width)
-	if !b.running.known {
-		most *= 2 // our own count alone made a crowd of four requests
-	}
-	return b.tellsCrowd(s) && held >= width+most || wait > left
+	return s.tellsQueue() && held >= 1+2*b.crowd || (held+1)*b.each(s) > (r.aim-b.now).Seconds()
 }
 
 // place sends the request to a server, or says that there is no room.
@@ -359,11 +331,7 @@
 	// Danger: a pair that has rejected something a moment ago is no crowd. It would press at every draw, and the
 	// refusals make themselves lasting.
 	if aFull && cFull && b.now >= a.full {
-		part := 1.0
-		if r.draws < draws-1 { // another pair may have room, which an agent alone will see and others take
-			part = aimShare + (1-aimShare)*b.herd
-		}
-		b.press(part)
+		b.press(1)
 	}
 	return !aFull && b.send(r, a) || !cFull && b.send(r, c)
 }
@@ -554,7 +522,7 @@
 	s := a.server
 	switch how {
 	case OK:
-		s.used, s.fulls, s.resets = b.now, 0, 0
+		s.used, s.resets = b.now, 0
 		h := &s.health[c.index]
 		h.bad, h.times, h.used = h.bad/2, 0, b.now
 		b.late.add(min(part, 1), gain)
@@ -570,7 +538,7 @@
 		// Danger: a server that turns requests away has few in flight and would win every pair. One that tells
 		// its load may have reasons of its own to; were that taken for a crowd, its rejections alone would have
 		// all requests shed from idle servers. What such a server holds is judged whenever it is drawn.
-		b.passBy(a)
+		b.passBy(s)
 		if !s.load.Known {
 			b.press(2)
 		}
@@ -588,7 +556,7 @@
 		if s.resets > 0 || b.doubt(c, s) == 1 {
 			b.blameAll(s, "connections")
 		} else { // danger: it takes no more connections, and those out for it would make others take more
-			b.passBy(a)
+			b.passBy(s)
 		}
 	}
 }
@@ -600,16 +568,8 @@
 	}
 }
 
-// passBy leaves a server without room alone for a while, longer each time until it answers. Danger: attempts
-// that were out together fail together, and say no more than the first of them.
-func (b *Balancer) passBy(a *attempt) {
-	s := a.server
-	if s.fulls > 0 && a.sent < s.full {
-		return
-	}
-	s.full = b.now + seconds(fullFor*b.service.v*float64(int(1)<<min(s.fulls, fullDoubles)))
-	s.fulls++
-}
+// passBy leaves a server without room alone for a while.
+func (b *Balancer) passBy(s *server) { s.full = b.now + seconds(fullFor*b.service.v) }
 
 // patient is how long a server's silence is no sign.
 func (c *class) patient() time.Duration { return max(seconds(patience*c.usual.v), c.Aim/leastPatience) }
--- a/state.go
+++ b/state.go
@@ -13,10 +13,9 @@
 
 type server struct {
 	ServerEntry
-	rank     float64 // place on the ring of all servers
-	base     float64 // speed by the list's first weight
-	slow     float64 // times slower than its kind, learnt
-	learntAt time.Duration
+	rank     float64       // place on the ring of all servers
+	base     float64       // speed by the list's first weight
+	slow     float64       // times slower than its kind, learnt
 	built    float64       // speed in the present line
 	used     time.Duration // when it last answered over a connection, 0 if never
 	inFlight int           // own attempts out
@@ -26,7 +25,6 @@
 	loadAt   time.Duration
 	probing  bool
 	full     time.Duration // passed by until then: it had no room
-	fulls    int           // so many times in a row
 	resets   int           // of its connections since it last answered
 	health   []health      // by class
 }
@@ -42,7 +40,7 @@
 func (s *server) tellsQueue() bool { return s.load.Known && s.load.Queue >= 0 }
 
 func (s *server) restart(e *ServerEntry) {
-	s.slow, s.full, s.fulls, s.resets, s.used, s.load.Known = 1, 0, 0, 0, 0, false
+	s.slow, s.full, s.resets, s.used, s.load.Known = 1, 0, 0, 0, false
 	clear(s.health)
 	if s.base = e.Weight; !(e.Weight > 0 && e.Weight < math.MaxFloat32) {
 		s.base = 1
@@ -144,8 +142,6 @@
 	ring     []*server // all servers, by rank
 	epoch    int       // counts the changes that are worth new lines
 	seen     float64   // answers that kinds' paces were learnt from
-	running  mean      // requests that a busy server has in work
-	widths   float64   // reports that this was learnt from
 	open     map[RequestID]*request
 	kinds    map[int]*kind
 	service  mean    // time of an answer, seconds
