--- a/balancer.go
+++ b/balancer.go
@@ -14,7 +14,7 @@
 const (
 	dedicated       = 0.1  // p: a little blind traffic keeps agents from moving as one
 	epsilonShare    = 0.5  // of the bound on epsilon: farthest from both ends, where a pair starves
-	agentsPerServer = 30   // agents that share a server: fewer spread unevenly, more know it worse
+	agentsPerServer = 12   // agents that share a server: fewer spread unevenly, more know it late
 	requestsEach    = 10   // requests in retrySpan for each server of the line: busier agents use more servers
 	shortestLine    = 6    // servers on a line at least: two may be out and pairs still differ
 	draws           = 3    // draws before a request has nowhere to go
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -567,6 +567,18 @@
 	}
 }
 
+// Among many agents each keeps to a few servers, which it hears of often; among few each uses all.
+func TestLineFitsTheFleet(t *testing.T) {
+	for _, c := range []struct{ agents, servers, want int }{{80, 60, 9}, {40, 60, 18}, {3, 15, 15}, {80, 15, shortestLine}} {
+		s := settings()
+		s.Agents = c.agents
+		x := start(t, s, fleet(c.servers)...)
+		if x.draw(); len(x.line().servers) != c.want {
+			t.Errorf("%d agents and %d servers: a line of %d, want %d", c.agents, c.servers, len(x.line().servers), c.want)
+		}
+	}
+}
+
 // A crowded fleet turns requests away early, and tenants over their share go first.
 func TestShedsTenantsOverTheirShare(t *testing.T) {
 	s := settings()
