Draw servers of the agent's own zone first while they queue no longer

Ruled out: that the near servers alone can carry a zone's traffic. Here the means of all reported queues, near and far, set the part of their speed by which far servers are drawn, so a zone that is lost or overrun spills. A cold server's share is now of the whole fleet's speed, times how few of its sort are on the line, so that a zone drawn first does not push over what restarts in it.

--- a/balancer.go
+++ b/balancer.go
@@ -45,6 +45,9 @@
 	slack           = 1.0  // pressure that queues of single servers build: it sheds nothing
 	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
 	easeOver        = 16.0 // aims in which pressure halves by itself
+	leastFar        = 0.05 // part of their speed that far servers are drawn by at least, to hear of them
+	farQueue        = 0.5  // requests more that wait at near servers than at far ones when far ones are drawn in full
+	farSlope        = 2.0  // how fast that part falls as fewer do: a request less divides it by e to this
 	trickle         = 0.03 // let through under any pressure, to learn when it is over
 	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
 	mixLife         = 200  // requests over which the tenants' mix is remembered
@@ -140,6 +143,9 @@
 	if !l.Known {
 		return
 	}
+	if l.Queue >= 0 {
+		b.queue[b.near(s)].add(l.Queue, fleetGain)
+	}
 	if l.InFlight < 0 && l.Queue >= 0 {
 		// Danger: where reports tell only who waits, a server with a long queue would look like an idle one.
 		if l.InFlight = l.Queue; l.Queue > 0 {
@@ -167,52 +173,83 @@
 	return -float64(rand.NewPCG(uint64(id), uint64(b.set.Rank)).Uint64())
 }
 
-// rebuild makes a class's line, the first open to it on this agent's ring, and the sums that its draws use.
+// rebuild makes a class's line, the first open to it on this agent's ring of those near and of those far, and the
+// sums that its draws use.
 func (b *Balancer) rebuild(c *class) {
 	l := &c.line
-	l.epoch, l.next, l.servers = b.epoch, math.MaxInt64, l.servers[:0]
+	l.epoch, l.next, l.servers, l.farther = b.epoch, math.MaxInt64, l.servers[:0], b.farther()
 	// Danger: agents x servers connections fill all tables; many teach little, few are overloaded.
 	size := max(shortestLine, agentsPerServer*len(b.ring)/b.set.Agents,
 		b.taken.since(b.now-seconds(retrySpan))/requestsEach)
+	var usual float64     // speed of all servers when they are warm
+	var on, of [2]float64 // servers on the line and open to it, far and near
 	for _, s := range b.ring {
-		until := s.health[c.index].until
-		switch {
-		case s.State != Ready || !c.eligible(s):
-		case until > b.now:
+		until, near := s.health[c.index].until, b.near(s)
+		if s.State != Ready || !c.eligible(s) {
+			continue
+		}
+		usual += b.speed(s)
+		of[near]++
+		if until > b.now {
 			l.next = min(l.next, until)
-		case len(l.servers) < size:
+		} else if int(on[near]) < size {
+			on[near]++
 			l.servers = append(l.servers, s)
 		}
 	}
-	// Neighbours are of like size: ties are broken evenly and would blur unlike speeds.
-	slices.SortStableFunc(l.servers, func(x, y *server) int { return cmp.Compare(x.base, y.base) })
-	var full, cold float64
+	// Neighbours are of like size: ties are broken evenly and would blur unlike speeds, or send to and fro.
+	slices.SortStableFunc(l.servers, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(b.near(x), b.near(y)), cmp.Compare(x.base, y.base))
+	})
+	var cold float64
 	l.speeds, l.pass, l.mu = l.speeds[:0], l.pass[:0], l.mu[:0]
 	for _, s := range l.servers {
 		speed, w := b.speed(s), b.warmth(s)
-		s.built, full = speed*w, full+speed
-		l.mu, l.speeds = append(l.mu, s.built), l.speeds.add(s.built)
+		s.built = speed * w
+		drawn := s.built
+		if b.near(s) == 0 && on[1] > 0 {
+			drawn *= l.farther
+		}
+		l.mu, l.speeds = append(l.mu, drawn), l.speeds.add(drawn)
 		if w < 1 {
-			cold += s.built
+			cold += drawn
 			l.next = min(l.next, b.now+b.set.WarmAfter/64)
 		}
 	}
 	sum := l.speeds.span(0, len(l.servers))
-	l.usualSum = max(full, l.usualSum*0.99)
+	l.usualSum = max(usual, l.usualSum*0.99)
 	l.pairs = pairSums(l.mu, l.pairs[:0])
 	for j, s := range l.servers {
 		pass := 1.0
 		if w := b.warmth(s); w < 1 {
 			// Danger: all agents together push it over. Even if it wins each of its pairs, and what it turns
-			// away comes again, it gets its present share of this agent's traffic.
-			inflow := (dedicated*s.built + (1-dedicated)*l.pairs.span(j-1, j+1)) / sum
+			// away comes again, it gets its present share of the traffic of the agents that have it on their line.
+			inflow := (dedicated*l.mu[j] + (1-dedicated)*l.pairs.span(j-1, j+1)) / sum
 			again := 1 + (draws-1)*cold/sum
-			pass = min(1, coldMargin*b.set.OverloadFactor*w*b.speed(s)/l.usualSum/(inflow*again))
+			share := b.speed(s) / l.usualSum * of[b.near(s)] / on[b.near(s)]
+			pass = min(1, coldMargin*b.set.OverloadFactor*w*share/(inflow*again))
 		}
 		l.pass = append(l.pass, pass)
 	}
 }
 
+// near is 1 for a server in this agent's zone and 0 for others.
+func (b *Balancer) near(s *server) int {
+	if s.Zone == b.set.Zone {
+		return 1
+	}
+	return 0
+}
+
+// farther is the part of their speed that servers in other zones are drawn by: all of it once the near ones have
+// longer queues. Danger: a zone may have more traffic than its servers can carry, or lose them.
+func (b *Balancer) farther() float64 {
+	if b.set.Zone < 0 || !b.queue[1].known || !b.queue[0].known {
+		return 1
+	}
+	return min(max(leastFar, math.Exp((b.queue[1].v-b.queue[0].v-farQueue)*farSlope)), 1)
+}
+
 // pairSums appends the running sums of the pairs' weights, speed plus epsilon.
 func pairSums(mu []float64, sums sums) sums {
 	n := len(mu)
@@ -241,7 +278,7 @@
 // draw picks a dedicated server (c is nil), or a pair. Both are nil when no server is ready.
 func (b *Balancer) draw(of *class) (a, c *server) {
 	l := &of.line
-	if l.epoch != b.epoch || b.now >= l.next {
+	if l.epoch != b.epoch || b.now >= l.next || math.Abs(l.farther-b.farther()) > speedStep*l.farther {
 		b.rebuild(of)
 	}
 	switch n := len(l.servers); {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 		ExtraFloor, ExtraWindow, ResendRatio           float64
 	}
 	Tick float64
+	Zone *float64
 }
 
 var effects = map[string]grebefork.Effect{
@@ -99,6 +100,10 @@
 		ExtraFloor:     f.Rules.ExtraFloor,
 		ExtraRatio:     f.Rules.ResendRatio,
 	}
+	s.Zone = -1
+	if f.Zone != nil {
+		s.Zone = int(*f.Zone)
+	}
 	var ok bool
 	if s.Reports, ok = reportModes[f.Report.How]; !ok {
 		return all, fmt.Errorf("settings: report.how %q is unknown", f.Report.How)
--- a/state.go
+++ b/state.go
@@ -84,10 +84,11 @@
 
 // line is what the requests of one class are drawn from: only servers that are open to it.
 type line struct {
-	servers  []*server     // in the design's order
-	mu       []float64     // their present speeds
-	speeds   sums          // of these
-	pairs    sums          // of the pairs' weights
+	servers  []*server // in the design's order
+	mu       []float64 // their present speeds
+	speeds   sums      // of these
+	pairs    sums      // of the pairs' weights
+	farther  float64
 	pass     []float64     // chance that a send to a server is let through while it is cold
 	usualSum float64       // speed of the line when all of it is warm, its highest of late
 	epoch    int           // of the Balancer when it was built
@@ -145,6 +146,7 @@
 	open     map[RequestID]*request
 	kinds    map[int]*kind
 	service  mean    // time of an answer, seconds
+	queue    [2]mean // requests that servers say wait, at far ones and at near ones
 	ahead    mean    // requests that were ahead of it, and itself
 	typical  mean    // held over speed of the pairs' shorter, as drawn
 	herd     float64 // from 0, this agent is alone, to 1, others send nearly all
--- a/types.go
+++ b/types.go
@@ -67,6 +67,7 @@
 // Settings is all that a Balancer is told at its start. New checks it.
 type Settings struct {
 	Rank, Agents   int // this agent's number, from 0, and how many there are
+	Zone           int // where it is; below 0: not told
 	Classes        []Class
 	Tenants        []Tenant // may be empty
 	Reports        ReportMode
