Take a cold server's slow answers for its coldness and use more of it

Ruled out: that the new servers are not known (the watches tell at once, first log line "list") and that they have no capacity left (their answers came in 110 ms, those of the warm ones in 170 to 290).

To blame: observe took the time of an answer for slowness of the server though speed is multiplied by warmth already, so coldness counted twice; and the pass let through half of overloadFactor of the least capacity that the settings allow.

--- a/balancer.go
+++ b/balancer.go
@@ -36,7 +36,7 @@
 	askSlot         = 0.3  // seconds between two agents' first calls for the list
 	single          = 0.34 // of one that a failure counts soon after an answer: three in a row eject
 	deadResets      = 3    // resets of connections without an answer between them: the server has died
-	coldMargin      = 0.5  // of overloadFactor that a cold server is sent; the rest is for peaks
+	coldMargin      = 0.7  // of overloadFactor that a cold server is sent; the rest is for peaks
 	retryRatio      = 0.2  // retry budget where none is stated: further attempts for each request, as usual
 	retryFloor      = 3.0  // and so many besides,
 	retrySpan       = 5.0  // in any so many seconds
@@ -119,7 +119,7 @@
 		k.seen, b.seen = k.seen+1, b.seen+1
 		k.ratio.add(min(ratio, 4), max(fleetGain, 1/(k.seen+kindDoubt/2)))
 	}
-	b.slower(s, ratio/k.ratio.v, gain/3)
+	b.slower(s, ratio*b.warmth(s)/k.ratio.v, gain/3)
 }
 
 // slower takes in a sample of how many times slower than usual a server is.
