Let a load report age with the number of agents that send meanwhile

Checked and ruled out: that reports are forgotten too soon.

To blame: held in balancer.go let half of a report's news last six service times however many agents there are. 80 agents that act on the same old report all leave the server, or all join it; 3 or 4 that hear of it often and count their own sends do not. At 4 agents the life is what it was.

--- a/balancer.go
+++ b/balancer.go
@@ -26,7 +26,7 @@
 	kindDoubt       = 8.0  // answers after which a kind's learnt speed counts as much as the list's weights
 	maxSlow         = 8.0  // slower than this is the business of ejection
 	fresh           = 2.0  // usual answers' time that a report is news and no probe is due
-	reportLife      = 6.0  // service times that half of a report's news lasts, as queues do
+	reportLife      = 24.0 // service times, over the agents, that half of a report's news lasts: the others send meanwhile
 	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
 	ejectShare      = 0.3  // of the servers at most, or one: more looking bad at once is overload or our own blindness
 	ejectFor        = 4.0  // aims that a first ejection lasts
@@ -309,7 +309,7 @@
 	if s.load.Known && s.load.InFlight >= 0 {
 		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
 		// while. Of those that are silent a fresh report knows better, but not of those on their way.
-		news := math.Exp2(-(b.now - s.loadAt).Seconds() / (reportLife * b.each(s)))
+		news := math.Exp2(-(b.now - s.loadAt).Seconds() / (reportLife / float64(b.set.Agents) * b.each(s)))
 		held += (s.load.InFlight-held)*news + float64(s.since)
 		own -= news * float64(s.silent)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1011,6 +1011,22 @@
 	}
 }
 
+// What a report tells is soon past where many agents send to the server: all of them act on old reports alike, and
+// what looked full is left idle while what looked idle fills up.
+func TestReportsAgeWithTheFleet(t *testing.T) {
+	after := func(agents int) float64 {
+		set := settings()
+		set.Agents = agents
+		x := start(t, set, fleet(2)...)
+		x.b.report(x.b.ring[0], Load{Known: true, InFlight: 8, Queue: -1, Recent: 50 * ms})
+		x.b.now += 100 * ms // two service times
+		return x.b.held(x.b.ring[0])
+	}
+	if few, many := after(4), after(80); few < 6 || many > 1 {
+		t.Errorf("of 8 held two service times ago, %v count among 4 agents and %v among 80", few, many)
+	}
+}
+
 // Our own queue at a server is not its slowness.
 func TestOwnQueueIsNoSlowness(t *testing.T) {
 	x := start(t, settings(), fleet(2)...)
