Eject a server for all classes on an error with no answer of late

Ruled out: that such servers serve other classes meanwhile; none of them had an answer between the errors. One that does keeps its other classes, for then answers are recent.

To blame: judge blamed an error on its class alone, though blameAll was there for servers that have died. At one request a second for a server the class is no finer a question than an agent can ask.

--- a/balancer.go
+++ b/balancer.go
@@ -581,7 +581,11 @@
 		}
 	case Error:
 		// Danger: a quick error looks like a quick answer. It teaches no speed and counts against the server.
-		b.blame(c, s, b.doubt(c, s), "errors")
+		if b.doubt(c, s) == 1 {
+			b.blameAll(s, "errors")
+		} else {
+			b.blame(c, s, single, "errors")
+		}
 	case Reset:
 		// Danger: networks cut connections to healthy servers. One that has died resets all, or refuses the next.
 		if s.resets++; s.resets < deadResets {
