Draw cold servers by their likely capacity and pass them a fuller budget

The cold got 0.4 to 0.66 of the requests of a warm one, which is the least share of its capacity that the settings allow, and no more.

Ruled out: that the weights alone are to blame. Speeds learnt of cold servers hardly moved within their time.

To blame: rebuild drew by warmth, the least capacity, and its pass divided by "again" as if every draw of a cold server were rejected and drawn twice more, though only the part that is not let through can be. The budget that the pass keeps is still that of the least capacity.

--- a/balancer.go
+++ b/balancer.go
@@ -103,6 +103,9 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, age.Seconds()/b.set.WarmAfter.Seconds())
 }
 
+// likely is about the share of its capacity that a server has by now: midway between the least and all of it.
+func (b *Balancer) likely(s *server) float64 { return math.Sqrt(b.warmth(s)) }
+
 // observe learns from how long an answer took beside others of its class, for each request that was ahead of it
 // and itself. Danger: the service time that servers report covers the last request or two, and a server that is
 // done with a costly one tells of it until the next.
@@ -119,13 +122,13 @@
 		k.seen, b.seen = k.seen+1, b.seen+1
 		k.ratio.add(min(ratio, 4), max(fleetGain, 1/(k.seen+kindDoubt/2)))
 	}
-	b.slower(s, ratio*b.warmth(s)/k.ratio.v, gain/3)
+	b.slower(s, ratio*b.likely(s)/k.ratio.v, gain/3)
 }
 
 // slower takes in a sample of how many times slower than usual a server is.
 func (b *Balancer) slower(s *server, ratio, weight float64) {
 	s.slow += weight * (min(max(ratio, 1/maxSlow), maxSlow) - s.slow)
-	if math.Abs(b.speed(s)*b.warmth(s)-s.built) > speedStep*s.built {
+	if math.Abs(b.speed(s)*b.likely(s)-s.built) > speedStep*s.built {
 		b.epoch++
 	}
 }
@@ -205,7 +208,7 @@
 	l.speeds, l.pass, l.mu = l.speeds[:0], l.pass[:0], l.mu[:0]
 	for _, s := range l.servers {
 		speed, w := b.speed(s), b.warmth(s)
-		s.built = speed * w
+		s.built = speed * b.likely(s)
 		drawn := s.built
 		if b.near(s) == 0 && on[1] > 0 {
 			drawn *= l.farther
@@ -225,9 +228,9 @@
 			// Danger: all agents together push it over. Even if it wins each of its pairs, and what it turns
 			// away comes again, it gets its present share of the traffic of the agents that have it on their line.
 			inflow := (dedicated*l.mu[j] + (1-dedicated)*l.pairs.span(j-1, j+1)) / sum
-			again := 1 + (draws-1)*cold/sum
 			share := b.speed(s) / l.usualSum * of[b.near(s)] / on[b.near(s)]
-			pass = min(1, coldMargin*b.set.OverloadFactor*w*share/(inflow*again))
+			pass = min(1, coldMargin*b.set.OverloadFactor*w*share/inflow)
+			pass /= 1 + (draws-1)*cold/sum*(1-pass)
 		}
 		l.pass = append(l.pass, pass)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -586,6 +586,31 @@
 	}
 }
 
+// Where most of a fleet is cold its servers are drawn by what they can likely do, and what is let through at once is
+// not held back as if it were drawn again: the few that are warm cannot carry the rest.
+func TestColdFleetIsUsed(t *testing.T) {
+	list := fleet(10)
+	for i := range 6 {
+		list[i].Start = time.Hour
+	}
+	x := start(t, settings(), list...)
+	x.now += settings().WarmAfter / 2
+	cold := 0.0
+	for id := range RequestID(4000) {
+		for _, a := range x.ask(id, pure) {
+			if a.Kind == ActSend {
+				if a.Server <= 6 {
+					cold += 1.0 / 4000
+				}
+				x.ends(id, 0, OK)
+			}
+		}
+	}
+	if cold < 0.32 || cold > 0.6 {
+		t.Errorf("six servers half warm of ten got %v of the traffic, want 0.32 to 0.6", cold)
+	}
+}
+
 // shares counts how much of 4000 requests goes to zone 1, whose servers say that so many wait, and to others.
 func (x *bench) shares(waiting float64) (near, far float64) {
 	for id := range RequestID(4000) {
@@ -1023,7 +1048,7 @@
 	warm, cold := x.b.servers[1], x.b.servers[2]
 	for range 200 {
 		x.b.observe(&x.b.classes[pure], &attempt{server: warm, ahead: 1}, 0.05)
-		x.b.observe(&x.b.classes[pure], &attempt{server: cold, ahead: 1}, 0.05/x.b.warmth(cold))
+		x.b.observe(&x.b.classes[pure], &attempt{server: cold, ahead: 1}, 0.05/x.b.likely(cold))
 	}
 	if r := cold.slow / warm.slow; r < 0.8 || r > 1.25 {
 		t.Errorf("a cold server passes for %v times slower than a warm one of its kind", r)
