--- a/balancer.go
+++ b/balancer.go
@@ -23,34 +23,33 @@
 	speedStep       = 0.1  // change of speed that is worth a new line; less is noise
 	gain            = 0.15 // weight of a sample of one server: a dozen settle a mean
 	fleetGain       = gain / 4
-	kindDoubt       = 8.0  // answers after which a kind's learnt speed counts as much as the list's weights
-	maxSlow         = 8.0  // slower than this is the business of ejection
-	fresh           = 2.0  // usual answers' time that a report is news and no probe is due
-	reportLife      = 24.0 // service times, over the agents, that half of a report's news lasts: the others send meanwhile
-	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
-	ejectShare      = 0.3  // of the servers at most, or one: more looking bad at once is overload or our own blindness
-	ejectFor        = 4.0  // aims that a first ejection lasts
-	ejectDoubles    = 3    // times that this doubles while the server stays bad
-	patience        = 6.0  // usual answers' time until an attempt counts as hanging,
-	leastPatience   = 1    // at least this part of the aim: quick answers come in bursts
-	askSlot         = 0.3  // seconds between two agents' first calls for the list
-	single          = 0.34 // of one that a failure counts soon after an answer: three in a row eject
-	deadResets      = 3    // resets of connections without an answer between them: the server has died
-	coldMargin      = 0.7  // of overloadFactor that a cold server is sent; the rest is for peaks
-	retryRatio      = 0.2  // retry budget where none is stated: further attempts for each request, as usual
-	retryFloor      = 3.0  // and so many besides,
-	retrySpan       = 5.0  // in any so many seconds
-	aimShare        = 0.5  // of the aim that a usual answer may take before work is shed
-	mostPressure    = 2.0  // clients that repeat what is refused take more than one refusal to stop
-	slack           = 1.0  // pressure that queues of single servers build: it sheds nothing
-	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
-	easeOver        = 16.0 // aims in which pressure halves by itself
-	leastFar        = 0.05 // part of their speed that far servers are drawn by at least, to hear of them
-	farQueue        = 0.5  // requests more that wait at near servers than at far ones when far ones are drawn in full
-	farSlope        = 2.0  // how fast that part falls as fewer do: a request less divides it by e to this
-	trickle         = 0.03 // let through under any pressure, to learn when it is over
-	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
-	mixLife         = 200  // requests over which the tenants' mix is remembered
+	kindDoubt       = 8.0   // answers after which a kind's learnt speed counts as much as the list's weights
+	maxSlow         = 8.0   // slower than this is the business of ejection
+	fresh           = 2.0   // usual answers' time that a report is news and no probe is due
+	reportLife      = 24.0  // service times, over the agents, that half of a report's news lasts: others send on
+	fullFor         = 3.0   // usual answers' time that a server which was full stays passed by
+	ejectShare      = 0.3   // of the servers at most, or one: more looking bad at once is overload or our own blindness
+	ejectFor        = 4.0   // aims that a first ejection lasts
+	ejectDoubles    = 3     // times that this doubles while the server stays bad
+	patience        = 6.0   // usual answers' time until an attempt counts as hanging,
+	leastPatience   = 1     // at least this part of the aim: quick answers come in bursts
+	askSlot         = 0.3   // seconds between two agents' first calls for the list
+	single          = 0.34  // of one that a failure counts soon after an answer: three in a row eject
+	deadResets      = 3     // resets of connections without an answer between them: the server has died
+	coldMargin      = 0.7   // of overloadFactor that a cold server is sent; the rest is for peaks
+	retryRatio      = 0.2   // retry budget where none is stated: further attempts for each request, as usual
+	retryFloor      = 3.0   // and so many besides,
+	retrySpan       = 5.0   // in any so many seconds
+	aimShare        = 0.5   // of the aim that a usual answer may take before work is shed
+	mostPressure    = 2.0   // clients that repeat what is refused take more than one refusal to stop
+	slack           = 1.0   // pressure that queues of single servers build: it sheds nothing
+	pressureGain    = 0.2   // of the intake shed for an answer one aim off: a few late answers halve it
+	easeOver        = 16.0  // aims in which pressure halves by itself
+	leastFar        = 0.05  // part of their speed that far servers are drawn by at least, to hear of them
+	farQueue        = 0.5   // requests more that wait at near servers than at far ones when far ones are drawn in full
+	farSlope        = 2.0   // how fast that part falls as fewer do: a request less divides it by e to this
+	trickle         = 0.03  // let through under any pressure, to learn when it is over
+	mixLife         = 200.0 // requests over which the tenants' mix is remembered
 )
 
 // --- The list ---
@@ -439,9 +438,11 @@
 	if tenant < 0 || tenant >= len(b.set.Tenants) || !(b.set.Tenants[tenant].Portion > 0) {
 		return 1
 	}
-	portion := b.set.Tenants[tenant].Portion
-	seen, sum := b.mix.count(tenant, mixLife)
-	return (seen + mixPrior*portion) / (sum + mixPrior) / portion
+	for i := range b.mix {
+		b.mix[i] -= b.mix[i] / mixLife
+	}
+	b.mix[tenant] += 1 / mixLife
+	return b.mix[tenant] / b.set.Tenants[tenant].Portion
 }
 
 // press moves the shed share by how full servers are or how long answers take, 1 being what no aim allows.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -556,7 +556,7 @@
 	}
 	for server, held := range map[ServerID]float64{1: 60, 2: 0} {
 		x.on(Event{Kind: EventProbed, Server: server, Outcome: OK,
-			Load: Load{Known: true, InFlight: held, Queue: -1, Recent: 50 * ms, Rate: 10}})
+			Load: Load{Known: true, InFlight: held, Queue: -1, Recent: 50 * ms}})
 	}
 	joined := map[ServerID]int{}
 	for range 2 {
@@ -710,7 +710,7 @@
 	x := start(t, s, fleet(2)...)
 	for id := ServerID(1); id <= 2; id++ {
 		x.on(Event{Kind: EventProbed, Server: id, Outcome: OK,
-			Load: Load{Known: true, InFlight: 0, Queue: -1, Recent: 5 * time.Second, Rate: 1}})
+			Load: Load{Known: true, InFlight: 0, Queue: -1, Recent: 5 * time.Second}})
 	}
 	one(t, x.ask(1, pure), ActSend)
 }
@@ -842,7 +842,7 @@
 		},
 		"answers behind queues": func(x *bench, s *server) {
 			took := []float64{0.1, 0.2}[s.Kind]
-			x.b.report(s, Load{Known: true, InFlight: -1, Queue: 3, Recent: 20 * ms, Rate: -1})
+			x.b.report(s, Load{Known: true, InFlight: -1, Queue: 3, Recent: 20 * ms})
 			x.b.observe(&x.b.classes[pure], &attempt{server: s, ahead: 4}, 4*took)
 		},
 	} {
@@ -868,7 +868,7 @@
 	x := start(t, settings(), fleet(2)...)
 	s, r := x.b.ring[0], &request{class: &x.b.classes[pure], aim: x.now + time.Second}
 	told := func(queue float64) {
-		x.b.report(s, Load{Known: true, InFlight: -1, Queue: queue, Recent: 10 * ms, Rate: -1})
+		x.b.report(s, Load{Known: true, InFlight: -1, Queue: queue, Recent: 10 * ms})
 	}
 	if told(20); x.b.held(s) < 10 || !x.b.crowded(r, s) {
 		t.Errorf("a queue of 20: %v held, crowded %v", x.b.held(s), x.b.crowded(r, s))
@@ -912,7 +912,7 @@
 		sent := one(t, x.ask(id, pure), ActSend)
 		x.now += 50 * ms
 		x.on(Event{Kind: EventOutcome, Request: id, Server: sent.Server, Outcome: OK, Closed: true,
-			Load: Load{Known: true, InFlight: -1, Queue: 0, Recent: 30 * ms, Rate: -1}})
+			Load: Load{Known: true, InFlight: -1, Queue: 0, Recent: 30 * ms}})
 	}
 	x.on(Event{Kind: EventList, ListMode: ListDelta, Servers: []ServerEntry{ready(5, 1)}})
 	fresh := x.b.servers[5]
@@ -937,7 +937,7 @@
 		x.b.now += 50 * ms
 		s := x.b.ring[i%4]
 		busy := float64(1 + 3*s.Kind)
-		x.b.report(s, Load{Known: true, InFlight: busy, Queue: -1, Recent: 50 * ms, Rate: 20 * busy})
+		x.b.report(s, Load{Known: true, InFlight: busy, Queue: -1, Recent: 50 * ms})
 	}
 	x.b.epoch++
 	x.draw()
@@ -966,7 +966,7 @@
 	if got := x.b.held(s); got != 8 {
 		t.Errorf("without a report: %v held", got)
 	}
-	x.b.report(s, Load{Known: true, InFlight: 0, Queue: -1, Recent: 10 * ms, Rate: 10})
+	x.b.report(s, Load{Known: true, InFlight: 0, Queue: -1, Recent: 10 * ms})
 	if got := x.b.held(s); got != 1 {
 		t.Errorf("by a fresh report, 7 of 8 being silent: %v held", got)
 	}
@@ -982,7 +982,7 @@
 // Where no report tells a server's width, the number it holds says nothing: requests may wait on others.
 func TestCrowdNeedsAWidth(t *testing.T) {
 	x := start(t, settings(), fleet(2)...)
-	load := Load{Known: true, InFlight: 8, Queue: -1, Recent: 10 * ms, Rate: -1}
+	load := Load{Known: true, InFlight: 8, Queue: -1, Recent: 10 * ms}
 	s := x.b.ring[0]
 	for range 3 {
 		x.b.report(s, load)
@@ -1303,7 +1303,7 @@
 	for _, how := range []Outcome{ConnectFailed, Full} {
 		x := start(t, settings(), fleet(3)...)
 		s, c := x.b.servers[1], &x.b.classes[pure]
-		x.b.report(s, Load{Known: true, InFlight: 2, Queue: -1, Recent: 10 * ms, Rate: 200})
+		x.b.report(s, Load{Known: true, InFlight: 2, Queue: -1, Recent: 10 * ms})
 		x.b.judge(c, &attempt{server: s}, OK, 0.1)
 		x.b.service.add(0.01, 1)
 		for range 5 {
@@ -1378,7 +1378,7 @@
 		acts := x.ask(1, c.class)
 		first, timer := one(t, acts, ActSend).Server, one(t, acts, ActTimer)
 		if x.now += ms; c.report >= 0 {
-			x.on(Event{Kind: EventProbed, Server: first, Load: Load{Known: true, InFlight: c.report, Queue: -1, Recent: -1, Rate: -1}})
+			x.on(Event{Kind: EventProbed, Server: first, Load: Load{Known: true, InFlight: c.report, Queue: -1, Recent: -1}})
 		}
 		x.now += c.after
 		for look, want := range c.want {
@@ -1587,3 +1587,25 @@
 		t.Error("ejected for a class that it answers")
 	}
 }
+
+// A server counts as avoided while it is ejected for all classes, and only while it is in the list.
+func TestAvoided(t *testing.T) {
+	x := start(t, settings(), fleet(5)...)
+	s := x.b.servers[1]
+	x.b.now = x.now
+	x.b.blame(&x.b.classes[pure], s, 1, "test")
+	if n := x.b.Avoided(x.now); n != 0 {
+		t.Errorf("ejected for one class: %d avoided", n)
+	}
+	x.b.blame(&x.b.classes[unsafe], s, 1, "test") // the second class has all eject it
+	if n := x.b.Avoided(x.now); n != 1 {
+		t.Errorf("ejected for all classes: %d avoided", n)
+	}
+	if n := x.b.Avoided(s.health[pure].until + time.Hour); n != 0 {
+		t.Errorf("when it is over: %d avoided", n)
+	}
+	s.State = Gone
+	if n := x.b.Avoided(x.now); n != 0 {
+		t.Errorf("out of the list: %d avoided", n)
+	}
+}
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -212,7 +212,7 @@
 		p := c.probes[0]
 		c.probes = c.probes[1:]
 		c.on(Event{Kind: EventProbed, Server: p, Outcome: Outcome(arg) % (Moot + 1),
-			Load: Load{Known: true, InFlight: float64(arg), Queue: -1, Recent: time.Duration(arg) * ms, Rate: 9}})
+			Load: Load{Known: true, InFlight: float64(arg), Queue: -1, Recent: time.Duration(arg) * ms}})
 	case what < 13 && len(c.pending) > 0:
 		r := c.tries[c.pending[arg%len(c.pending)].Request]
 		if !r.ended {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,7 +21,6 @@
 		Aim, Deadline, Credit, LateWorth, RepeatWindow float64
 
 		Name, Effect, DedupScope string
-		Stream                   bool
 
 		LocalitiesOnly, BoundTo []float64 // absent: any; empty: none
 	}
@@ -128,7 +127,7 @@
 		}
 		s.Classes = append(s.Classes, grebefork.Class{
 			Aim: Millis(c.Aim), Deadline: Millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
-			Effect: effect, Scope: scope, Window: Millis(c.RepeatWindow), Stream: c.Stream,
+			Effect: effect, Scope: scope, Window: Millis(c.RepeatWindow),
 			Zones: zones, Kinds: kinds,
 		})
 	}
@@ -164,7 +163,7 @@
 
 // NoLoad is a load report without any figure.
 func NoLoad() grebefork.Load {
-	return grebefork.Load{InFlight: -1, Queue: -1, Recent: -1, Rate: -1, Errors: -1}
+	return grebefork.Load{InFlight: -1, Queue: -1, Recent: -1}
 }
 
 // AddLoad puts the figure with a name of the settings into a report; what cannot be a figure stays absent.
@@ -180,9 +179,5 @@
 		l.Queue = v
 	case "recent_ms":
 		l.Recent = Millis(v)
-	case "throughput":
-		l.Rate = v
-	case "errors_per_s":
-		l.Errors = v
 	}
 }
--- a/state.go
+++ b/state.go
@@ -145,20 +145,20 @@
 	seen     float64   // answers that kinds' paces were learnt from
 	open     map[RequestID]*request
 	kinds    map[int]*kind
-	service  mean    // time of an answer, seconds
-	queue    [2]mean // requests that servers say wait, at far ones and at near ones
-	ahead    mean    // requests that were ahead of it, and itself
-	typical  mean    // held over speed of the pairs' shorter, as drawn
-	herd     float64 // from 0, this agent is alone, to 1, others send nearly all
-	crowd    float64 // between crowdAlone and crowd
-	late     mean    // time of an answer over its aim
-	pressure float64 // share of the usual requests to shed
-	mix      tenantMix
-	worth    float64 // mean worth of the classes
-	taken    history // requests, for the retry budget and the size of the line
-	extra    history // attempts beyond a request's first
-	asks     int     // failed calls for the list in a row
-	logs     int     // lines since logsFrom
+	service  mean      // time of an answer, seconds
+	queue    [2]mean   // requests that servers say wait, at far ones and at near ones
+	ahead    mean      // requests that were ahead of it, and itself
+	typical  mean      // held over speed of the pairs' shorter, as drawn
+	herd     float64   // from 0, this agent is alone, to 1, others send nearly all
+	crowd    float64   // between crowdAlone and crowd
+	late     mean      // time of an answer over its aim
+	pressure float64   // share of the usual requests to shed
+	mix      []float64 // of late, by tenant
+	worth    float64   // mean worth of the classes
+	taken    history   // requests, for the retry budget and the size of the line
+	extra    history   // attempts beyond a request's first
+	asks     int       // failed calls for the list in a row
+	logs     int       // lines since logsFrom
 	logsFrom time.Duration
 	eased    time.Duration // when pressure last went down by itself
 }
@@ -174,7 +174,9 @@
 	b := &Balancer{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0)), epoch: 1, servers: map[ServerID]*server{},
 		open: map[RequestID]*request{}, kinds: map[int]*kind{},
-		mix: tenantMix{seen: make([]float64, len(s.Tenants))},
+	}
+	for _, t := range s.Tenants {
+		b.mix = append(b.mix, t.Portion) // until they are seen
 	}
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
@@ -186,60 +188,47 @@
 	return b, nil
 }
 
+// field is a setting under check.
+type field struct {
+	name  string
+	value any
+	wrong bool
+}
+
 func (s *Settings) check() error {
-	bad := func(name string, v any) error { return fmt.Errorf("setting %s cannot be %v", name, v) }
-	switch {
-	case s.Agents < 1:
-		return bad("Agents", s.Agents)
-	case s.Rank < 0 || s.Rank >= s.Agents:
-		return bad("Rank", s.Rank)
-	case s.MaxAttempts < 1:
-		return bad("MaxAttempts", s.MaxAttempts)
-	case !(s.ColdFrom > 0 && s.ColdFrom <= 1):
-		return bad("ColdFrom", s.ColdFrom)
-	case s.WarmAfter < 0:
-		return bad("WarmAfter", s.WarmAfter)
-	case !(s.OverloadFactor > 0):
-		return bad("OverloadFactor", s.OverloadFactor)
-	case s.IdleClose < 0:
-		return bad("IdleClose", s.IdleClose)
-	case s.ExtraWindow < 0:
-		return bad("ExtraWindow", s.ExtraWindow)
-	case !(s.ExtraFloor >= 0):
-		return bad("ExtraFloor", s.ExtraFloor)
-	case !(s.ExtraRatio >= 0):
-		return bad("ExtraRatio", s.ExtraRatio)
-	case s.Tick < 0:
-		return bad("Tick", s.Tick)
-	case s.AskList && s.MustAskIn <= 0:
-		return bad("MustAskIn", s.MustAskIn)
-	case len(s.Classes) == 0:
-		return bad("Classes", "empty")
+	all := []field{
+		{"Agents", s.Agents, s.Agents < 1},
+		{"Rank", s.Rank, s.Rank < 0 || s.Rank >= s.Agents},
+		{"MaxAttempts", s.MaxAttempts, s.MaxAttempts < 1},
+		{"ColdFrom", s.ColdFrom, !(s.ColdFrom > 0 && s.ColdFrom <= 1)},
+		{"WarmAfter", s.WarmAfter, s.WarmAfter < 0},
+		{"OverloadFactor", s.OverloadFactor, !(s.OverloadFactor > 0)},
+		{"IdleClose", s.IdleClose, s.IdleClose < 0},
+		{"ExtraWindow", s.ExtraWindow, s.ExtraWindow < 0},
+		{"ExtraFloor", s.ExtraFloor, !(s.ExtraFloor >= 0)},
+		{"ExtraRatio", s.ExtraRatio, !(s.ExtraRatio >= 0)},
+		{"Tick", s.Tick, s.Tick < 0},
+		{"MustAskIn", s.MustAskIn, s.AskList && s.MustAskIn <= 0},
+		{"Classes", "empty", len(s.Classes) == 0},
 	}
 	for i, c := range s.Classes {
-		switch {
-		case c.Aim <= 0:
-			return bad(fmt.Sprintf("Classes[%d].Aim", i), c.Aim)
-		case c.Deadline < c.Aim:
-			return bad(fmt.Sprintf("Classes[%d].Deadline", i), c.Deadline)
-		case !(c.Worth >= 0):
-			return bad(fmt.Sprintf("Classes[%d].Worth", i), c.Worth)
-		case c.Effect > SideEffect:
-			return bad(fmt.Sprintf("Classes[%d].Effect", i), c.Effect)
-		case c.Scope > ScopeCell:
-			return bad(fmt.Sprintf("Classes[%d].Scope", i), c.Scope)
-		case c.Window < 0:
-			return bad(fmt.Sprintf("Classes[%d].Window", i), c.Window)
-		case slices.ContainsFunc(c.Zones, negative):
-			return bad(fmt.Sprintf("Classes[%d].Zones", i), c.Zones)
-		case slices.ContainsFunc(c.Kinds, negative):
-			return bad(fmt.Sprintf("Classes[%d].Kinds", i), c.Kinds)
-		}
+		at := fmt.Sprintf("Classes[%d].", i)
+		all = append(all, []field{
+			{at + "Aim", c.Aim, c.Aim <= 0},
+			{at + "Deadline", c.Deadline, c.Deadline < c.Aim},
+			{at + "Worth", c.Worth, !(c.Worth >= 0)},
+			{at + "Effect", c.Effect, c.Effect > SideEffect},
+			{at + "Scope", c.Scope, c.Scope > ScopeCell},
+			{at + "Window", c.Window, c.Window < 0},
+			{at + "Zones", c.Zones, slices.ContainsFunc(c.Zones, negative)},
+			{at + "Kinds", c.Kinds, slices.ContainsFunc(c.Kinds, negative)},
+		}...)
 	}
 	for i, t := range s.Tenants {
-		if !(t.Portion >= 0) {
-			return bad(fmt.Sprintf("Tenants[%d].Portion", i), t.Portion)
-		}
+		all = append(all, field{fmt.Sprintf("Tenants[%d].Portion", i), t.Portion, !(t.Portion >= 0)})
+	}
+	if i := slices.IndexFunc(all, func(f field) bool { return f.wrong }); i >= 0 {
+		return fmt.Errorf("setting %s cannot be %v", all[i].name, all[i].value)
 	}
 	return nil
 }
@@ -289,24 +278,6 @@
 	return min(i, len(s)-1)
 }
 
-// tenantMix counts who has asked of late.
-type tenantMix struct {
-	seen []float64
-	sum  float64
-}
-
-// count adds a request and returns its tenant's and all; both are halved after so many.
-func (m *tenantMix) count(tenant int, life float64) (seen, sum float64) {
-	m.seen[tenant]++
-	if m.sum++; m.sum > life {
-		m.sum /= 2
-		for i := range m.seen {
-			m.seen[i] /= 2
-		}
-	}
-	return m.seen[tenant], m.sum
-}
-
 // entry finds the server of a line of the list, or makes it; a server not known that is gone stays unknown.
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.servers[e.ID]
@@ -320,6 +291,17 @@
 	return s
 }
 
+// Avoided counts the listed servers that are ejected for every class.
+func (b *Balancer) Avoided(now time.Duration) (n int) {
+	for _, s := range b.ring {
+		in := slices.ContainsFunc(s.health, func(h health) bool { return h.until <= now })
+		if !in && s.State != Gone {
+			n++
+		}
+	}
+	return n
+}
+
 // Handle takes one event and appends what must be done to out.
 func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
 	b.now, b.out = max(now, b.now), out
--- a/types.go
+++ b/types.go
@@ -44,7 +44,6 @@
 	Effect    Effect
 	Scope     Scope
 	Window    time.Duration // Token: how long repeats are dropped, from the first attempt that may have run
-	Stream    bool          // the answer is streamed: EventBegun is delivered
 	Zones     []int         // placement: the only zones it may be sent to; nil is any, empty is none
 	Kinds     []int         // placement: the only kinds of machine, likewise
 }
@@ -116,8 +115,6 @@
 	InFlight float64       // requests it holds
 	Queue    float64       // requests waiting
 	Recent   time.Duration // its recent service time, without waiting
-	Rate     float64       // requests served a second
-	Errors   float64       // errors a second
 }
 
 // Outcome is how an attempt or probe ended.
