Add the operators' console: check, drain and the figures

The figures are counted where the fact is known; the log's lines are differences of the same registry.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // admission holds the connections of clients. There is room for so many; when it is short, the one that has been
@@ -24,7 +26,19 @@
 type clientConn struct {
 	*net.TCPConn
 	place  *list.Element // among the silent; nil while a request is open
+	since  time.Time     // among the silent since then
 	closed bool          // to make room, or by its server
+
+	reading atomic.Bool // part of a request has come; guarded by nothing
+}
+
+// Read notes that a request begins. net/http tells only of one whose head is whole.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.reading.Load() {
+		c.reading.Store(true)
+	}
+	return n, err
 }
 
 // Accept returns the next connection, for which there is room. Serve calls it from one goroutine.
@@ -54,7 +68,7 @@
 		a.release(victim)
 	}
 	a.open++
-	c.place = a.silent.PushBack(c)
+	c.place, c.since = a.silent.PushBack(c), time.Now()
 	a.mu.Unlock()
 	if victim != nil {
 		victim.Close()
@@ -94,6 +108,8 @@
 	defer a.mu.Unlock()
 	switch state {
 	case http.StateIdle:
+		c.since = time.Now()
+		c.reading.Store(false)
 		if c.place != nil {
 			a.silent.MoveToBack(c.place)
 		} else if !c.closed {
@@ -104,6 +120,24 @@
 	}
 }
 
+// closeIdle closes the connections that have been without a request for so long, and bring none just now.
+func (a *admission) closeIdle(grace time.Duration) {
+	var idle []*clientConn
+	a.mu.Lock()
+	for e := a.silent.Front(); e != nil; {
+		c := e.Value.(*clientConn)
+		e = e.Next()
+		if time.Since(c.since) >= grace && !c.reading.Load() {
+			idle = append(idle, c)
+			a.release(c)
+		}
+	}
+	a.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
 // connKey is the context's key of a request's connection.
 type connKey struct{}
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,15 +64,27 @@
 	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	d.startFrom(cfg.known)
 	l.follow = d.asked
-	go l.run(work)
-	tell(grebefork.ListCached, cfg.known.Members)
-	go d.run(work, reloads)
-
+	figures := &l.pool.counts
+	figures.know(cfg.Settings.Classes)
 	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
 	// that it has used once and keeps would leave it none for the next request.
 	room := min(half, cfg.Sockets*3/10)
 	clients := &admission{TCPListener: listener, most: room}
-	handler := &server{loop: l, clients: clients, most: int64(room - room/8)}
+	handler := &server{loop: l, figures: figures, clients: clients, most: int64(room - room/8)}
+	handler.drain = &drain{clients: clients, ended: work.Done()}
+	if cfg.Console != "" {
+		c, err := listenConsole(ctx, cfg.Console, handler.calls())
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		l.shown = true
+		go c.serve()
+	}
+	go l.run(work)
+	tell(grebefork.ListCached, cfg.known.Members)
+	go d.run(work, reloads)
+
 	srv := &http.Server{
 		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
 		ConnContext: withConn, ConnState: clients.noteState,
@@ -85,7 +97,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	handler.leaving.Store(true)
+	handler.drain.leave()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -29,6 +29,8 @@
  "limits":{"maxAttempts":3,"cancel":true,"secondCopies":true,"retryAfter":true,"connectTimeout":2000,"idleClose":30000},
  "rules":{"coldFrom":0.5,"warmAfter":1000,"overloadFactor":2,"extraFloor":100,"extraWindow":1000}}`
 
+var discard = slog.New(slog.DiscardHandler)
+
 // wait bounds what a test waits for; nothing passes by it.
 const wait = 20 * time.Second
 
@@ -67,7 +69,7 @@
 		client:  &http.Client{Transport: &http.Transport{}, Timeout: wait},
 		reloads: make(chan *Config),
 	}
-	go func() { r.ended <- serve(ctx, cfg, r.reloads, listener, slog.New(slog.DiscardHandler)) }()
+	go func() { r.ended <- serve(ctx, cfg, r.reloads, listener, discard) }()
 	t.Cleanup(func() {
 		stop()
 		r.client.CloseIdleConnections()
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -31,8 +31,9 @@
 
 // message is a client's request as it goes on to a backend, unchanged but for its budget.
 type message struct {
-	head []byte // the request line and the headers but for the budget
-	body []byte
+	head  []byte // the request line and the headers but for the budget
+	body  []byte
+	probe bool // the agent's own, no attempt
 }
 
 func newMessage(method, uri, host string, header http.Header, body []byte) message {
@@ -129,6 +130,9 @@
 	if _, err := c.Write(m.encode(time.Until(deadline))); err != nil {
 		return nil, nil, false, err
 	}
+	if !m.probe {
+		p.counts.total(func(n *totals) { n.tries++ })
+	}
 	if resp, body, err = p.read(c); err != nil {
 		if ctx.Err() == nil {
 			p.counts.count(func(n *tally) { n.broke(c.used, err) })
@@ -210,6 +214,7 @@
 		path = loadPath
 	}
 	m := newMessage(http.MethodGet, path, t.addr, nil, nil)
+	m.probe = true
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r := p.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -21,6 +21,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string // empty: none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -45,7 +46,7 @@
 
 func parseConfig(text []byte) (*Config, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
+		Name, Listen, Discovery, Console, Seed string
 
 		Limits struct {
 			Cores    float64
@@ -59,7 +60,7 @@
 		return nil, err
 	}
 	cfg := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console,
 		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets,
 	}
 	var err error
@@ -69,6 +70,9 @@
 	if _, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if _, err = netip.ParseAddrPort(f.Console); err != nil && f.Console != "" {
+		return nil, fmt.Errorf("console: %w", err)
+	}
 	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
--- /dev/null
+++ b/internal/agent/console_test.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// freeAddr is an address that was free just now.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer free.Close()
+	return free.Addr().String()
+}
+
+// withConsole starts an agent that has a console and knows the backends.
+func withConsole(t *testing.T, backends ...*backend) (*running, string) {
+	t.Helper()
+	var members []string
+	for i, b := range backends {
+		members = append(members, host(fmt.Sprintf("s-%d", i), b.addr, "Ready", i))
+	}
+	l := newLists(t, hosts(1, true, members...))
+	cfg := config(t, l.Listener.Addr().String(), testSettings)
+	cfg.Console = freeAddr(t)
+	return start(t, cfg), cfg.Console
+}
+
+// operator makes one call, or sends whatever text is given, and returns all of the answer.
+func operator(t *testing.T, console, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", console)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(wait))
+	io.WriteString(c, text)
+	if !strings.HasSuffix(text, "\n") {
+		c.(*net.TCPConn).CloseWrite()
+	}
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
+func TestConsoleCalls(t *testing.T) {
+	_, console := withConsole(t, newBackend(t, serves))
+	for _, c := range []struct{ call, want string }{
+		{"check\n", "ok\n"},
+		{"check\r\n", "ok\n"},
+		{"drain-off\n", "ok\n"},
+		{"\n", `fail unknown call ""`},
+		{"reboot\n", `fail unknown call "reboot"`},
+		{"check", "fail no whole line"},
+		{"", "fail no whole line"},
+		{strings.Repeat("x", maxCallLine+1) + "\n", "fail a call has at most"},
+	} {
+		if got := operator(t, console, c.call); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%.20q is answered %q, want %q", c.call, got, c.want)
+		}
+	}
+	if got := operator(t, console, "vars\n"); !strings.HasPrefix(got, "ok\ngw_responses_total{") || !strings.HasSuffix(got, "\neof\n") {
+		t.Errorf("vars is answered %q", got)
+	}
+}
+
+// Callers that say nothing, and a loop and an admission that are at their limits, keep no other caller waiting.
+func TestConsoleAnswersAtOnce(t *testing.T) {
+	calls := map[string]func(io.Writer) error{"check": func(io.Writer) error { return nil }}
+	c, err := listenConsole(t.Context(), "127.0.0.1:0", calls)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	go c.serve()
+	addr := c.listener.Addr().String()
+	for range 3 * mostCallers {
+		silent, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer silent.Close()
+	}
+	begun := time.Now()
+	if got := operator(t, addr, "check\n"); got != "ok\n" || time.Since(begun) > callTime/2 {
+		t.Errorf("answered %q after %v", got, time.Since(begun))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.callers) > mostCallers {
+		t.Errorf("%d callers are held", len(c.callers))
+	}
+}
+
+func TestConsoleAddressTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	cfg.Console = taken.Addr().String()
+	if err := Run(t.Context(), cfg, nil, discard); err == nil || !strings.Contains(err.Error(), cfg.Console) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// While clients are sent away /up says no, answers close their connections, what is idle for long enough is closed,
+// and what was taken is answered. Afterwards all is as before.
+func TestConsoleDrain(t *testing.T) {
+	goOn := make(chan struct{}, 2)
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a, console := withConsole(t, b)
+	up := func() int {
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get(a.url + readyPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	unused, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	taken := make(chan *http.Response, 1)
+	go func() {
+		resp, err := a.client.Do(a.request("unsafe", "15000m"))
+		if err != nil {
+			t.Error(err)
+		}
+		taken <- resp
+	}()
+	receive(t, "request", b.got)
+	for range 2 { // twice is as good as once
+		if got := operator(t, console, "drain-on\n"); got != "ok\n" {
+			t.Fatalf("drain-on: %q", got)
+		}
+	}
+	if status, said := up(), operator(t, console, "check\n"); status == 200 || !strings.HasPrefix(said, "fail") {
+		t.Errorf("while clients are sent away /up answers %d, check %q", status, said)
+	}
+	begun := time.Now()
+	unused.SetReadDeadline(begun.Add(wait))
+	if _, err := unused.Read(make([]byte, 1)); err != io.EOF || time.Since(begun) > idleGrace+time.Second {
+		t.Errorf("an idle connection ends with %v after %v", err, time.Since(begun))
+	}
+	goOn <- struct{}{}
+	if resp := receive(t, "answer", taken); resp == nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("what was taken is answered %v", resp)
+	}
+	if got := operator(t, console, "drain-off\n"); got != "ok\n" || up() != 200 {
+		t.Errorf("drain-off: %q, then /up %d", got, up())
+	}
+	goOn <- struct{}{}
+	if resp, err := a.client.Do(a.request("unsafe", "15000m")); err != nil || resp.StatusCode != 200 || resp.Close {
+		t.Errorf("afterwards: %v, error %v", resp, err)
+	}
+}
+
+// The operators' word and SIGTERM are one state: what the second has set the first does not take back.
+func TestDrainStates(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(*drain)
+		want error
+	}{
+		{"as it starts", func(*drain) {}, nil},
+		{"on", (*drain).on, errDraining},
+		{"on and off", func(d *drain) { d.on(); d.off() }, nil},
+		{"off without on", func(d *drain) { d.off() }, nil},
+		{"on, on, off", func(d *drain) { d.on(); d.on(); d.off() }, nil},
+		{"leaving", (*drain).leave, errLeaving},
+		{"leaving during a drain", func(d *drain) { d.on(); d.leave() }, errLeaving},
+		{"on while leaving", func(d *drain) { d.leave(); d.on() }, errLeaving},
+		{"off while leaving", func(d *drain) {
+			d.on()
+			d.leave()
+			if d.off() == nil {
+				t.Error("off while leaving is granted")
+			}
+		}, errLeaving},
+	} {
+		d := &drain{clients: &admission{}, ended: t.Context().Done()}
+		if c.do(d); d.away() != c.want {
+			t.Errorf("%s: %v, want %v", c.name, d.away(), c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/figures_test.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The figures tell each end of a request by class, every class from 0, and the tries and servers behind them.
+func TestFigures(t *testing.T) {
+	b := newBackend(t, func(n int, _ *http.Request) (string, bool) {
+		if n == 0 {
+			return "", true // the connection breaks: the request may have run
+		}
+		return okText, false
+	})
+	a, console := withConsole(t, b)
+	expect := func(lines ...string) {
+		t.Helper()
+		var got string
+		for begun := time.Now(); time.Since(begun) < wait; time.Sleep(10 * time.Millisecond) {
+			got = operator(t, console, "vars\n")
+			missing := false
+			for _, l := range lines {
+				missing = missing || !strings.Contains(got, l+"\n")
+			}
+			if !missing {
+				return
+			}
+		}
+		t.Fatalf("the figures\n%swant\n%s", got, strings.Join(lines, "\n"))
+	}
+	expect(`gw_responses_total{kind="celled",result="shed"} 0`, "gw_tries_total 0", "gw_active 0", "gw_pool_size 1",
+		"gw_pool_ejected 0", "gw_config_applied_total 0", "gw_config_rejected_total 0")
+	a.do(t, a.request("unsafe", "15000m")) // fails
+	a.do(t, a.request("unsafe", "15000m"))
+	a.do(t, a.request("safe", "15000m"))
+	expect(`gw_responses_total{kind="unsafe",result="errors"} 1`, `gw_responses_total{kind="unsafe",result="ok"} 1`,
+		`gw_responses_total{kind="safe",result="ok"} 1`, `gw_responses_total{kind="safe",result="shed"} 0`,
+		"gw_tries_total 3", "gw_active 0")
+}
+
+// What the agent itself turns away is refused, and counted so.
+func TestFiguresOfRefusals(t *testing.T) {
+	l := newLists(t, hosts(1, true, host("x", "127.0.0.1:1", "Terminating", 0)))
+	cfg := config(t, l.Listener.Addr().String(), testSettings)
+	cfg.Console = freeAddr(t)
+	a := start(t, cfg)
+	a.do(t, a.request("unsafe", "15000m"))
+	if got := operator(t, cfg.Console, "vars\n"); !strings.Contains(got, `{kind="unsafe",result="shed"} 1`) ||
+		!strings.Contains(got, "gw_tries_total 0\n") {
+		t.Errorf("the figures\n%s", got)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -75,6 +75,8 @@
 	inputs   chan input
 	done     chan struct{} // closed when run returns
 	ready    atomic.Bool   // a list has come
+	heard    atomic.Bool   // and it is no old one
+	shown    bool          // the figures are read: the loop publishes its own
 
 	servers  serverIDs
 	targets  map[grebefork.ServerID]*target
@@ -121,6 +123,12 @@
 	defer sweep.Stop()
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
+	gauges := make(<-chan time.Time)
+	if l.shown {
+		t := time.NewTicker(gaugeEvery)
+		defer t.Stop()
+		gauges = t.C
+	}
 	for {
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
@@ -137,6 +145,9 @@
 		case <-sweep.C:
 			l.pool.sweep()
 			l.callIDs.age()
+		case <-gauges:
+			l.pool.counts.listed.Store(int64(len(l.states)))
+			l.pool.counts.avoidedNow.Store(int64(l.balancer.Avoided(l.clock.now())))
 		case <-report.C:
 			l.pool.counts.report(l.log, l.listed(grebefork.Ready), l.listed(grebefork.Draining))
 		case <-ctx.Done():
@@ -159,6 +170,7 @@
 		if ev.ListMode != grebefork.ListFailed {
 			l.forgetGone(ev.ListMode, ev.Servers)
 			l.ready.Store(len(l.targets) > 0 || l.ready.Load())
+			l.heard.Store(ev.ListMode != grebefork.ListCached || l.heard.Load())
 		}
 	case grebefork.EventRequest:
 		if !l.callIDs.take(in.call.callID) {
@@ -192,9 +204,7 @@
 		r.attempts[ev.Attempt]()
 		r.out--
 		if ev.Outcome == grebefork.OK {
-			if r.end(in.answer) {
-				l.pool.counts.count(func(t *tally) { t.served++ })
-			} else {
+			if !r.end(in.answer) {
 				l.pool.free(int64(len(in.answer.body)))
 			}
 		}
@@ -346,16 +356,12 @@
 		}
 	case grebefork.ActRefuse:
 		if r != nil {
-			if r.end(answer{status: statusRefused, retryAfter: a.Wait}) {
-				l.pool.counts.count(func(t *tally) { t.refused++ })
-			}
+			r.end(answer{status: statusRefused, retryAfter: a.Wait})
 			l.forget(r)
 		}
 	case grebefork.ActFail:
 		if r != nil {
-			if r.end(answer{status: statusFailed}) {
-				l.pool.counts.count(func(t *tally) { t.failed++ })
-			}
+			r.end(answer{status: statusFailed})
 			l.forget(r)
 		}
 	case grebefork.ActCancel:
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"context"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -84,7 +83,7 @@
 func TestLoopCarriesOut(t *testing.T) {
 	b := newBackend(t, serves)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +122,7 @@
 // A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
 func TestLateOutcomeIsDropped(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -231,7 +230,7 @@
 	}
 	x, y := newBackend(t, script), newBackend(t, script)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -67,7 +67,7 @@
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
 	room           atomic.Int64  // bytes left for large answers
-	counts         counters
+	counts         figures
 
 	mu      sync.Mutex
 	targets map[*target]struct{} // those not retired
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -19,7 +18,7 @@
 		return okText, false
 	})
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"example.org/grebefork"
@@ -46,14 +45,16 @@
 var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade", "Expect", "Content-Length"}
 
+var errNoList = errors.New("no list of backends yet")
+
 // server is the client's side: it turns requests into calls for the loop, and its answers into responses.
 type server struct {
 	loop    *loop
+	figures *figures
 	clients *admission
 	most    int64 // requests held at once
 
-	held    atomic.Int64
-	leaving atomic.Bool // connections are closed after their answers
+	drain *drain // while clients are sent away, connections are closed after their answers
 }
 
 // badRequest is what a client did wrong, and the status that tells it so.
@@ -78,8 +79,9 @@
 		return
 	}
 	if r.URL.Path == readyPath {
-		if !s.loop.ready.Load() {
-			http.Error(w, "no list of backends yet", http.StatusServiceUnavailable)
+		if err := s.takesClients(); err != nil {
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 		return
 	}
@@ -92,17 +94,17 @@
 	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
 		panic(http.ErrAbortHandler)
 	}
-	defer s.held.Add(-1)
-	if s.held.Add(1) > s.most {
-		s.loop.pool.counts.count(func(t *tally) { t.turnedAway++ })
-		s.respond(w, answer{status: statusRefused, retryAfter: s.fullAdvice()})
+	defer s.figures.active.Add(-1)
+	if s.figures.active.Add(1) > s.most {
+		s.figures.count(func(t *tally) { t.turnedAway++ })
+		s.answer(w, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
 		return
 	}
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
 		defer s.loop.pool.free(int64(len(a.body)))
-		s.respond(w, a)
+		s.answer(w, c, a)
 	case <-r.Context().Done():
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
 		// Danger: a handler that returns without a word answers 200, and a client that has closed only its own
@@ -111,6 +113,37 @@
 	}
 }
 
+// takesClients says why clients cannot be served, if they can not.
+func (s *server) takesClients() error {
+	if err := s.drain.away(); err != nil {
+		return err
+	}
+	if !s.loop.ready.Load() {
+		return errNoList
+	}
+	return nil
+}
+
+// calls are what the operators may ask on the console.
+func (s *server) calls() map[string]func(io.Writer) error {
+	return map[string]func(io.Writer) error{
+		"check":     func(io.Writer) error { return s.takesClients() },
+		"drain-on":  func(io.Writer) error { s.drain.on(); return nil },
+		"drain-off": func(io.Writer) error { return s.drain.off() },
+		"vars": func(w io.Writer) error {
+			s.figures.write(w)
+			_, err := fmt.Fprintln(w, "eof")
+			return err
+		},
+	}
+}
+
+// answer gives a request that was taken its answer and counts it.
+func (s *server) answer(w http.ResponseWriter, c *call, a answer) {
+	s.figures.answered(s.loop.set.Classes[c.class], resultOf(a.status))
+	s.respond(w, a)
+}
+
 // fullAdvice is when to come back to an agent that holds all it can, as far as the settings allow such advice.
 func (s *server) fullAdvice() time.Duration {
 	set := &s.loop.set.Module
@@ -125,7 +158,7 @@
 func (s *server) respond(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	// What else a client sends that has sent nonsense is not to be trusted either.
-	if s.leaving.Load() || a.status/100 == 4 {
+	if s.drain.away() != nil || a.status/100 == 4 {
 		h.Set("Connection", "close")
 	}
 	if a.retryAfter > 0 {
