Take new settings at SIGHUP: classes, attempts and all else, whole or not at all

The module keeps what it learnt under the classes' names (Adopt); the loop swaps settings in one step and answers what is under way as what it was taken for. A file that lacks a key of the one in force, or says what cannot be, counts as rejected and changes nothing, discovery included. Ruled out by a unit test: that a call read before the swap is placed by the old table.

--- a/balancer.go
+++ b/balancer.go
@@ -31,8 +31,7 @@
 	ejectShare      = 0.3   // of the servers at most, or one: more looking bad at once is overload or our own blindness
 	ejectFor        = 4.0   // aims that a first ejection lasts
 	ejectDoubles    = 3     // times that this doubles while the server stays bad
-	patience        = 6.0   // usual answers' time until an attempt counts as hanging,
-	leastPatience   = 1     // at least this part of the aim: quick answers come in bursts
+	patience        = 6.0   // usual answers' time until an attempt hangs; the aim at least: quick answers come in bursts
 	askSlot         = 0.3   // seconds between two agents' first calls for the list
 	single          = 0.34  // of one that a failure counts soon after an answer: three in a row eject
 	deadResets      = 3     // resets of connections without an answer between them: the server has died
@@ -401,7 +400,7 @@
 	if ev.Class < 0 || ev.Class >= len(b.classes) || b.open[ev.Request] != nil {
 		return
 	}
-	c := &b.classes[ev.Class]
+	c := b.classes[ev.Class]
 	r := &request{id: ev.Request, class: c, tenant: ev.Tenant}
 	r.deadline, r.aim = b.now+ev.Left, b.now+c.Aim
 	if passed := max(0, c.Deadline-ev.Left); !ev.Retry {
@@ -608,8 +607,8 @@
 
 // blameAll ejects a server from all lines: no class is served over connections that break.
 func (b *Balancer) blameAll(s *server, why string) {
-	for i := range b.classes {
-		b.blame(&b.classes[i], s, 1, why)
+	for _, c := range b.classes {
+		b.blame(c, s, 1, why)
 	}
 }
 
@@ -617,7 +616,7 @@
 func (b *Balancer) passBy(s *server) { s.full = b.now + seconds(fullFor*b.service.v) }
 
 // patient is how long a server's silence is no sign.
-func (c *class) patient() time.Duration { return max(seconds(patience*c.usual.v), c.Aim/leastPatience) }
+func (c *class) patient() time.Duration { return max(seconds(patience*c.usual.v), c.Aim) }
 
 // doubt is what a failure says against a server. Danger: a busy agent meets single failures all the time; if
 // one were enough though answers come in between, half of the healthy would be out and the rest crowded.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -16,12 +16,16 @@
 	class := func(e Effect, s Scope, w time.Duration) Class {
 		return Class{Aim: 400 * ms, Deadline: 1000 * ms, Worth: 1, Effect: e, Scope: s, Window: w}
 	}
-	return Settings{
+	set := Settings{
 		Agents: 1, MaxAttempts: 6, Tick: ms, ColdFrom: 0.2, WarmAfter: 10 * time.Second, OverloadFactor: 2.5,
 		Cancel: true,
 		Classes: []Class{class(Pure, 0, 0), class(Token, ScopeCell, 300*ms), class(Token, ScopeAll, 300*ms),
 			class(SideEffect, 0, 0), class(Token, ScopeZone, 300*ms)},
 	}
+	for i := range set.Classes {
+		set.Classes[i].Name = string(rune('a' + i))
+	}
+	return set
 }
 
 const (
@@ -61,7 +65,7 @@
 }
 
 // draw and line are those of the first class.
-func (x *bench) draw() (a, c *server) { return x.b.draw(&x.b.classes[0]) }
+func (x *bench) draw() (a, c *server) { return x.b.draw(x.b.classes[0]) }
 func (x *bench) line() *line          { return &x.b.classes[0].line }
 
 func ready(id ServerID, weight float64) ServerEntry {
@@ -431,7 +435,7 @@
 func TestErrorWithoutAnswersIsForAllClasses(t *testing.T) {
 	for _, answered := range []bool{false, true} {
 		x := start(t, settings(), fleet(6)...)
-		s, c := x.b.ring[0], &x.b.classes[pure]
+		s, c := x.b.ring[0], x.b.classes[pure]
 		x.b.judge(c, &attempt{server: s}, OK, 0.1)
 		if !answered {
 			x.b.now += c.Aim
@@ -450,7 +454,7 @@
 	x := start(t, settings(), fleet(9)...)
 	for _, s := range slices.Clone(x.b.ring) {
 		x.draw()
-		x.b.blame(&x.b.classes[pure], s, 5, "test")
+		x.b.blame(x.b.classes[pure], s, 5, "test")
 	}
 	x.draw()
 	if n := len(x.line().servers); n != 7 {
@@ -838,12 +842,12 @@
 	}
 	for name, learn := range map[string]func(x *bench, s *server){
 		"answers": func(x *bench, s *server) {
-			x.b.observe(&x.b.classes[pure], &attempt{server: s, ahead: 1}, []float64{0.1, 0.2}[s.Kind])
+			x.b.observe(x.b.classes[pure], &attempt{server: s, ahead: 1}, []float64{0.1, 0.2}[s.Kind])
 		},
 		"answers behind queues": func(x *bench, s *server) {
 			took := []float64{0.1, 0.2}[s.Kind]
 			x.b.report(s, Load{Known: true, InFlight: -1, Queue: 3, Recent: 20 * ms})
-			x.b.observe(&x.b.classes[pure], &attempt{server: s, ahead: 4}, 4*took)
+			x.b.observe(x.b.classes[pure], &attempt{server: s, ahead: 4}, 4*took)
 		},
 	} {
 		x := start(t, settings(), list...)
@@ -866,7 +870,7 @@
 // Where reports tell only who waits, those count as held, and a few requests of our own on a server are no crowd.
 func TestQueueAloneIsHeld(t *testing.T) {
 	x := start(t, settings(), fleet(2)...)
-	s, r := x.b.ring[0], &request{class: &x.b.classes[pure], aim: x.now + time.Second}
+	s, r := x.b.ring[0], &request{class: x.b.classes[pure], aim: x.now + time.Second}
 	told := func(queue float64) {
 		x.b.report(s, Load{Known: true, InFlight: -1, Queue: queue, Recent: 10 * ms})
 	}
@@ -890,7 +894,7 @@
 	x := start(t, settings(), fleet(8)...)
 	line := func() []*server { x.draw(); return x.line().servers }()
 	x.b.typical = mean{1, true}
-	r := &request{id: 1, class: &x.b.classes[pure], deadline: x.now + time.Second, aim: x.now + time.Second}
+	r := &request{id: 1, class: x.b.classes[pure], deadline: x.now + time.Second, aim: x.now + time.Second}
 	line[0].inFlight, line[1].inFlight = 9, 9
 	for r.draws = range draws {
 		if last := r.draws == draws-1; x.b.settle(r, line[0], line[1]) != last {
@@ -987,7 +991,7 @@
 	for range 3 {
 		x.b.report(s, load)
 	}
-	r := &request{class: &x.b.classes[pure], aim: x.now + 400*ms}
+	r := &request{class: x.b.classes[pure], aim: x.now + 400*ms}
 	if x.b.crowded(r, s) {
 		t.Error("8 in hand at 10 ms each are no crowd for 400 ms")
 	}
@@ -1023,16 +1027,16 @@
 	long, short := x.b.ring[0], x.b.ring[1]
 	for range 200 {
 		x.b.now += 50 * ms
-		x.b.observe(&x.b.classes[byAll], &attempt{server: long, ahead: 1}, 0.5)
-		x.b.observe(&x.b.classes[pure], &attempt{server: short, ahead: 1}, 0.05)
+		x.b.observe(x.b.classes[byAll], &attempt{server: long, ahead: 1}, 0.5)
+		x.b.observe(x.b.classes[pure], &attempt{server: short, ahead: 1}, 0.05)
 	}
 	if long.slow > 1.2 || short.slow < 0.8 {
 		t.Errorf("slowness %v and %v", long.slow, short.slow)
 	}
 	for range 200 {
 		x.b.now += 50 * ms
-		x.b.observe(&x.b.classes[pure], &attempt{server: long, ahead: 1}, 0.15)
-		x.b.observe(&x.b.classes[pure], &attempt{server: short, ahead: 1}, 0.05)
+		x.b.observe(x.b.classes[pure], &attempt{server: long, ahead: 1}, 0.15)
+		x.b.observe(x.b.classes[pure], &attempt{server: short, ahead: 1}, 0.05)
 	}
 	if long.slow < 1.4*short.slow {
 		t.Errorf("a server three times slower: slowness %v and %v", long.slow, short.slow)
@@ -1047,8 +1051,8 @@
 	x := start(t, settings(), list...)
 	warm, cold := x.b.servers[1], x.b.servers[2]
 	for range 200 {
-		x.b.observe(&x.b.classes[pure], &attempt{server: warm, ahead: 1}, 0.05)
-		x.b.observe(&x.b.classes[pure], &attempt{server: cold, ahead: 1}, 0.05/x.b.likely(cold))
+		x.b.observe(x.b.classes[pure], &attempt{server: warm, ahead: 1}, 0.05)
+		x.b.observe(x.b.classes[pure], &attempt{server: cold, ahead: 1}, 0.05/x.b.likely(cold))
 	}
 	if r := cold.slow / warm.slow; r < 0.8 || r > 1.25 {
 		t.Errorf("a cold server passes for %v times slower than a warm one of its kind", r)
@@ -1077,8 +1081,8 @@
 	busy, idle := x.b.ring[0], x.b.ring[1]
 	for range 300 {
 		x.b.now += 50 * ms
-		x.b.observe(&x.b.classes[pure], &attempt{server: busy, ahead: 4}, 0.4)
-		x.b.observe(&x.b.classes[pure], &attempt{server: idle, ahead: 1}, 0.1)
+		x.b.observe(x.b.classes[pure], &attempt{server: busy, ahead: 4}, 0.4)
+		x.b.observe(x.b.classes[pure], &attempt{server: idle, ahead: 1}, 0.1)
 	}
 	if busy.slow > 1.2*idle.slow {
 		t.Errorf("slowness %v with four times the wait for three of our own, %v with none", busy.slow, idle.slow)
@@ -1223,7 +1227,7 @@
 func TestBusyServerSurvivesSingleFailures(t *testing.T) {
 	for _, how := range []Outcome{Error, Reset} {
 		x := start(t, settings(), fleet(3)...)
-		s, c := x.b.servers[1], &x.b.classes[pure]
+		s, c := x.b.servers[1], x.b.classes[pure]
 		for range 20 {
 			x.b.judge(c, &attempt{server: s}, OK, 0.1)
 			x.b.judge(c, &attempt{server: s}, how, 0.1)
@@ -1243,7 +1247,7 @@
 	s, check := x.b.servers[one(t, sent, ActSend).Server], one(t, sent, ActTimer)
 	x.now += check.Wait / 2
 	x.on(Event{Kind: EventTimer}) // brings the module's clock up to date
-	x.b.judge(&x.b.classes[pure], &attempt{server: s}, OK, 0.1)
+	x.b.judge(x.b.classes[pure], &attempt{server: s}, OK, 0.1)
 	x.now += check.Wait / 2
 	if x.on(Event{Kind: EventTimer, Token: check.Token}); s.health[pure].bad > 0 {
 		t.Errorf("blamed %v for a costly request", s.health[pure].bad)
@@ -1302,7 +1306,7 @@
 func TestServerWithoutRoomIsPassedBy(t *testing.T) {
 	for _, how := range []Outcome{ConnectFailed, Full} {
 		x := start(t, settings(), fleet(3)...)
-		s, c := x.b.servers[1], &x.b.classes[pure]
+		s, c := x.b.servers[1], x.b.classes[pure]
 		x.b.report(s, Load{Known: true, InFlight: 2, Queue: -1, Recent: 10 * ms})
 		x.b.judge(c, &attempt{server: s}, OK, 0.1)
 		x.b.service.add(0.01, 1)
@@ -1397,7 +1401,7 @@
 func TestHealthIsByClass(t *testing.T) {
 	x := start(t, settings(), fleet(8)...)
 	on := func(class int, id ServerID) bool {
-		c := &x.b.classes[class]
+		c := x.b.classes[class]
 		x.b.draw(c)
 		return slices.Contains(c.line.servers, x.b.servers[id])
 	}
@@ -1408,13 +1412,13 @@
 		t.Fatalf("after a silent unsafe request: out for unsafe %v, for pure %v", !on(unsafe, bad), !on(pure, bad))
 	}
 	for range 20 {
-		x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[bad]}, OK, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: x.b.servers[bad]}, OK, 0.1)
 	}
 	if on(unsafe, bad) {
 		t.Error("good answers of another class brought it back")
 	}
 	x.b.now += 500 * ms // and it has not answered for a while
-	x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[bad]}, Error, 0.1)
+	x.b.judge(x.b.classes[pure], &attempt{server: x.b.servers[bad]}, Error, 0.1)
 	for class := range x.b.classes {
 		if on(class, bad) {
 			t.Errorf("failed two classes, but serves class %d", class)
@@ -1424,7 +1428,7 @@
 	if other == bad {
 		other = x.b.ring[1].ID
 	}
-	x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[other]}, ConnectFailed, 0.1)
+	x.b.judge(x.b.classes[pure], &attempt{server: x.b.servers[other]}, ConnectFailed, 0.1)
 	if on(unsafe, other) {
 		t.Error("it takes no connections, but it is still sent unsafe requests")
 	}
@@ -1436,9 +1440,9 @@
 	x := start(t, settings(), fleet(8)...)
 	s := x.b.ring[0]
 	for _, quiet := range []time.Duration{0, 100 * ms, 5 * time.Second} {
-		x.b.judge(&x.b.classes[pure], &attempt{server: s}, OK, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: s}, OK, 0.1)
 		x.b.now += quiet
-		x.b.judge(&x.b.classes[pure], &attempt{server: s}, Reset, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: s}, Reset, 0.1)
 		for class := range x.b.classes {
 			if s.health[class].until > x.b.now {
 				t.Errorf("ejected for class %d by one reset, %v after an answer", class, quiet)
@@ -1447,8 +1451,8 @@
 	}
 	dead := x.b.ring[1]
 	for _, how := range []Outcome{Reset, ConnectFailed} { // its process has died
-		x.b.judge(&x.b.classes[pure], &attempt{server: s}, Reset, 0.1)
-		x.b.judge(&x.b.classes[pure], &attempt{server: dead, sent: x.b.now}, how, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: s}, Reset, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: dead, sent: x.b.now}, how, 0.1)
 	}
 	for _, s := range []*server{s, dead} {
 		if s.health[unsafe].until <= x.b.now {
@@ -1527,7 +1531,7 @@
 			x.b.late.add(part, gain)
 		}
 		for i := range 4 {
-			x.b.silent(&x.b.classes[pure], &attempt{server: x.b.ring[i]}, 0.5)
+			x.b.silent(x.b.classes[pure], &attempt{server: x.b.ring[i]}, 0.5)
 		}
 		if got := x.b.pressure > slack; got != want {
 			t.Errorf("answers take %v of their aims: pressure %v after four servers fell silent", part, x.b.pressure)
@@ -1572,12 +1576,12 @@
 // A server that answers other classes and swallows one is ejected for that one by its time-outs.
 func TestSwallowedClassIsEjected(t *testing.T) {
 	x := start(t, settings(), fleet(8)...)
-	s, c := x.b.ring[0], &x.b.classes[unsafe]
+	s, c := x.b.ring[0], x.b.classes[unsafe]
 	x.b.judge(c, &attempt{server: s}, OK, 0.1)
 	for range 3 {
 		a := attempt{server: s, sent: x.b.now}
 		x.b.now += time.Second
-		x.b.judge(&x.b.classes[pure], &attempt{server: s}, OK, 0.1)
+		x.b.judge(x.b.classes[pure], &attempt{server: s}, OK, 0.1)
 		x.b.judge(c, &a, Timeout, 1)
 	}
 	if s.health[unsafe].until <= x.b.now {
@@ -1593,11 +1597,11 @@
 	x := start(t, settings(), fleet(5)...)
 	s := x.b.servers[1]
 	x.b.now = x.now
-	x.b.blame(&x.b.classes[pure], s, 1, "test")
+	x.b.blame(x.b.classes[pure], s, 1, "test")
 	if n := x.b.Avoided(x.now); n != 0 {
 		t.Errorf("ejected for one class: %d avoided", n)
 	}
-	x.b.blame(&x.b.classes[unsafe], s, 1, "test") // the second class has all eject it
+	x.b.blame(x.b.classes[unsafe], s, 1, "test") // the second class has all eject it
 	if n := x.b.Avoided(x.now); n != 1 {
 		t.Errorf("ejected for all classes: %d avoided", n)
 	}
@@ -1609,3 +1613,42 @@
 		t.Errorf("out of the list: %d avoided", n)
 	}
 }
+
+// New settings find classes by their names: what is learnt of them and of servers stays, a request under way keeps its
+// class, and fewer attempts bind at once. Settings that cannot be right change nothing.
+func TestAdopt(t *testing.T) {
+	s := settings()
+	x := start(t, s, fleet(3)...)
+	x.b.classes[unsafe].usual = mean{0.123, true}
+	x.b.blame(x.b.classes[unsafe], x.b.servers[1], 0.5, "test")
+	x.ask(1, pure)
+	x.ask(2, byAll)
+
+	broken := settings()
+	broken.MaxAttempts = 0
+	if err := x.b.Adopt(broken); err == nil || x.b.set.MaxAttempts != s.MaxAttempts {
+		t.Fatalf("broken settings: error %v, %d attempts", err, x.b.set.MaxAttempts)
+	}
+
+	next := settings()
+	next.MaxAttempts = 1
+	fresh := next.Classes[pure]
+	fresh.Name, fresh.Effect = "fresh", SideEffect
+	next.Classes = []Class{fresh, next.Classes[unsafe], next.Classes[byAll]} // "pure" and others have gone
+	if err := x.b.Adopt(next); err != nil {
+		t.Fatal(err)
+	}
+	c := x.b.classes[1]
+	if c.usual.v != 0.123 || x.b.servers[1].health[c.index].bad != 0.5 || x.b.servers[1].health[x.b.classes[0].index].bad != 0 {
+		t.Errorf("what was learnt has not stayed with its class: %+v", x.b.servers[1].health)
+	}
+	none(t, x.ends(1, 0, ConnectFailed), ActSend) // one attempt is all
+	if acts := x.ends(2, 0, OK); len(x.b.open) > 0 {
+		t.Errorf("requests under way are still open after %+v", acts)
+	}
+	send := one(t, x.ask(3, 0), ActSend)
+	none(t, x.ends(3, 0, Reset), ActSend, ActRefuse) // it may have run, and never twice
+	if send.Request != 3 || x.b.open[3] != nil {
+		t.Errorf("a request of the new class: %+v", send)
+	}
+}
--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -45,13 +45,13 @@
 	log = log.With("agent", cfg.Name)
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
-	reloads := make(chan *agent.Config)
+	reloads := make(chan agent.Reload)
 	go func() {
+		present := cfg
 		for range hangups {
-			next, err := agent.LoadConfig(path)
-			if err != nil {
-				log.Error("not reloaded, the old configuration stays", "error", err)
-				continue
+			next := agent.ReloadConfig(path, present)
+			if next.Err == nil {
+				present = next.Config
 			}
 			reloads <- next
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,8 +31,8 @@
 )
 
 // Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
-// reloaded it takes discovery's address.
-func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
+// reloaded it takes the settings and discovery's address.
+func Run(ctx context.Context, cfg *Config, reloads <-chan Reload, log *slog.Logger) error {
 	listener, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
@@ -48,7 +48,7 @@
 	return net.ListenTCP("tcp", at)
 }
 
-func serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener *net.TCPListener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg *Config, reloads <-chan Reload, listener *net.TCPListener, log *slog.Logger) error {
 	// Half of the sockets is for backends.
 	half := (cfg.Sockets - reservedSockets) / 2
 	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
@@ -83,7 +83,18 @@
 	}
 	go l.run(work)
 	tell(grebefork.ListCached, cfg.known.Members)
-	go d.run(work, reloads)
+	moves := make(chan string)
+	go d.run(work, moves)
+	go func() {
+		for {
+			select {
+			case r := <-reloads:
+				l.reload(work, r, moves)
+			case <-work.Done():
+				return
+			}
+		}
+	}()
 
 	srv := &http.Server{
 		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
@@ -104,7 +115,7 @@
 	case <-time.After(leaveAfter):
 	}
 	longest := leaveSlack
-	for _, c := range cfg.Settings.Module.Classes {
+	for _, c := range l.set.Load().Module.Classes {
 		longest = max(longest, c.Deadline+leaveSlack)
 	}
 	last, cancel := context.WithTimeout(work, longest)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -52,7 +52,7 @@
 	ended  chan error
 	client *http.Client
 
-	reloads chan *Config
+	reloads chan Reload
 	calls   atomic.Int64 // requests made
 }
 
@@ -67,7 +67,7 @@
 	r := &running{
 		url: "http://" + listener.Addr().String(), stop: stop, ended: make(chan error, 1),
 		client:  &http.Client{Transport: &http.Transport{}, Timeout: wait},
-		reloads: make(chan *Config),
+		reloads: make(chan Reload),
 	}
 	go func() { r.ended <- serve(ctx, cfg, r.reloads, listener, discard) }()
 	t.Cleanup(func() {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 
 	"example.org/grebefork"
 	"example.org/grebefork/internal/settings"
@@ -29,6 +31,81 @@
 	Settings  settings.Settings
 
 	known memberList
+	file  any // as it was read, but for the list
+}
+
+// Reload is the configuration file read again, or why it cannot be used.
+type Reload struct {
+	Config *Config
+	Err    error
+}
+
+// ReloadConfig reads and checks the file that is to follow a configuration. Danger: a file that is not written to its
+// end, or lacks a key, would fill in for what it does not say with zeros that may look like settings.
+func ReloadConfig(path string, present *Config) Reload {
+	next, err := LoadConfig(path)
+	if err != nil {
+		return Reload{Err: err}
+	}
+	if key := lacks(present.file, next.file, ""); key != "" {
+		return Reload{Err: fmt.Errorf("configuration %s: %s is missing", path, key)}
+	}
+	return Reload{Config: next}
+}
+
+// lacks returns the place of a key that the present file has and the next one has not, or nothing. In a list of objects
+// each has to have the keys that all of the present ones have.
+func lacks(present, next any, at string) string {
+	switch p := present.(type) {
+	case map[string]any:
+		n, ok := next.(map[string]any)
+		if !ok {
+			return at
+		}
+		for _, key := range slices.Sorted(maps.Keys(p)) {
+			inner := strings.TrimPrefix(at+"."+key, ".")
+			if p[key] != nil && n[key] == nil {
+				return inner
+			}
+			if key := lacks(p[key], n[key], inner); key != "" {
+				return key
+			}
+		}
+	case []any:
+		n, ok := next.([]any)
+		if !ok {
+			return at
+		}
+		always := common(p)
+		for i, v := range n {
+			if key := lacks(always, v, fmt.Sprintf("%s[%d]", at, i)); key != "" {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
+// common returns an object of the keys that all objects of a list have, or nil if they are not all objects.
+func common(list []any) any {
+	var keys map[string]any
+	for _, v := range list {
+		o, ok := v.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if keys == nil {
+			keys = map[string]any{}
+			for key, v := range o {
+				keys[key] = v != nil // whatever stands there
+			}
+		}
+		maps.DeleteFunc(keys, func(key string, _ any) bool { return o[key] == nil })
+	}
+	if keys == nil {
+		return nil
+	}
+	return keys
 }
 
 // LoadConfig reads and checks the configuration file. Its errors name the field that cannot be used.
@@ -64,6 +141,9 @@
 		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets,
 	}
 	var err error
+	if cfg.file, err = decoded(text); err != nil {
+		return nil, err
+	}
 	if _, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -98,6 +178,16 @@
 	return cfg, checkSettings(&cfg.Settings)
 }
 
+// decoded returns what a file says but for its list, which is checked by itself.
+func decoded(text []byte) (any, error) {
+	var file map[string]any
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	delete(file, "known")
+	return file, nil
+}
+
 // checkSettings checks what the agent needs beside the module, whose own check is grebefork.New.
 func checkSettings(s *settings.Settings) error {
 	if s.ConnectTimeout <= 0 {
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// run follows the list until the context ends, from each reload on at the address that it brings.
-func (d *discovery) run(ctx context.Context, reloads <-chan *Config) {
+// run follows the list until the context ends, from each move on at the address that it brings.
+func (d *discovery) run(ctx context.Context, moves <-chan string) {
 	for {
 		here, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
@@ -131,12 +131,11 @@
 			close(left)
 		}()
 		select {
-		case cfg := <-reloads:
+		case addr := <-moves:
 			leave()
 			<-left
-			d.log.Info("reloaded", "discovery", cfg.Discovery)
 			// The new service counts revisions of its own, so its whole list comes first.
-			d.addr, d.revision = cfg.Discovery, nil
+			d.addr, d.revision = addr, nil
 			d.asked()
 		case <-ctx.Done():
 			leave()
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -129,7 +129,7 @@
 	receive(t, "watch", old.calls)
 	moved := *cfg
 	moved.Discovery = next.Listener.Addr().String()
-	a.reloads <- &moved
+	a.reloads <- Reload{Config: &moved}
 	if q := receive(t, "call to the new discovery", next.calls); q != "" {
 		t.Errorf("the first call asks %q", q)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -30,15 +30,18 @@
 // input is what has happened, on its way to the loop: an event for the module and what it has no use for.
 type input struct {
 	event   grebefork.Event
-	call    *call    // of EventRequest and EventHangup
-	answer  answer   // of EventOutcome, if it is OK
-	members []member // of EventList
+	call    *call              // of EventRequest and EventHangup
+	answer  answer             // of EventOutcome, if it is OK
+	members []member           // of EventList
+	adopt   *settings.Settings // instead of an event
+	adopted chan<- error
 }
 
 // call is a client's request, which the client's handler shares with the loop.
 type call struct {
-	callID        string // the client's
-	class, tenant int
+	callID, kind  string             // the client's: its id and its class
+	set           *settings.Settings // by which it was read
+	class, tenant int                // positions in them
 	retry         bool
 	deadline      time.Duration // of the clock
 	message       message
@@ -66,7 +69,7 @@
 // loop owns the module and the state of all requests. It alone decides how a request ends: handlers, attempts
 // and discovery send it inputs and share nothing else with it.
 type loop struct {
-	set      *settings.Settings
+	set      atomic.Pointer[settings.Settings] // the loop swaps it; handlers read requests by it
 	clock    clock
 	balancer *grebefork.Balancer
 	pool     *pool
@@ -80,7 +83,7 @@
 
 	servers  serverIDs
 	targets  map[grebefork.ServerID]*target
-	states   map[grebefork.ServerID]grebefork.ServerState // as discovery last told, for the log
+	members  map[grebefork.ServerID]member // as discovery last told
 	requests map[grebefork.RequestID]*request
 	callIDs  callIDs
 	lastID   grebefork.RequestID
@@ -94,16 +97,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{
-		set: set, clock: clock{time.Now()}, balancer: balancer, pool: pool, log: log,
+	l := &loop{
+		clock: clock{time.Now()}, balancer: balancer, pool: pool, log: log,
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}},
 		targets:  map[grebefork.ServerID]*target{},
-		states:   map[grebefork.ServerID]grebefork.ServerState{},
+		members:  map[grebefork.ServerID]member{},
 		requests: map[grebefork.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
-	}, nil
+	}
+	l.set.Store(set)
+	pool.counts.know(set.Classes)
+	return l, nil
 }
 
 // send hands an input to the loop, unless that has ended.
@@ -146,7 +152,7 @@
 			l.pool.sweep()
 			l.callIDs.age()
 		case <-gauges:
-			l.pool.counts.listed.Store(int64(len(l.states)))
+			l.pool.counts.listed.Store(int64(len(l.members)))
 			l.pool.counts.avoidedNow.Store(int64(l.balancer.Avoided(l.clock.now())))
 		case <-report.C:
 			l.pool.counts.report(l.log, l.listed(grebefork.Ready), l.listed(grebefork.Draining))
@@ -162,6 +168,10 @@
 
 // take brings an input's facts up to date and hands its event to the module.
 func (l *loop) take(ctx context.Context, in input) {
+	if in.adopt != nil {
+		in.adopted <- l.adopt(ctx, in.adopt)
+		return
+	}
 	ev := in.event
 	switch ev.Kind {
 	case grebefork.EventList:
@@ -178,6 +188,11 @@
 			return
 		}
 		l.pool.counts.count(func(t *tally) { t.taken++ })
+		if !in.call.translate(l.set.Load()) {
+			l.callIDs.release(in.call.callID)
+			in.call.answered <- answer{status: statusRefused}
+			return
+		}
 		in.call.id = l.newID()
 		l.requests[in.call.id] = &request{call: in.call}
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
@@ -281,15 +296,15 @@
 	for _, m := range members {
 		e := grebefork.ServerEntry{
 			ID:     l.servers.of(m.ID),
-			Zone:   slices.Index(l.set.Zones, m.Locality),
-			Kind:   slices.Index(l.set.Kinds, m.Flavor),
+			Zone:   slices.Index(l.set.Load().Zones, m.Locality),
+			Kind:   slices.Index(l.set.Load().Kinds, m.Flavor),
 			Cell:   m.Cell,
 			State:  phases[m.Phase],
 			Weight: m.Size,
 			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
 		}
 		entries = append(entries, e)
-		l.states[e.ID] = e.State
+		l.members[e.ID] = m
 		if e.State == grebefork.Gone {
 			continue // forgotten once the module has heard of it
 		}
@@ -320,14 +335,14 @@
 			delete(l.targets, id)
 		}
 		l.servers.free(id)
-		delete(l.states, id)
+		delete(l.members, id)
 	}
 }
 
 // listed counts the backends that discovery says are in a state.
 func (l *loop) listed(state grebefork.ServerState) (n int) {
-	for _, s := range l.states {
-		if s == state {
+	for _, m := range l.members {
+		if phases[m.Phase] == state {
 			n++
 		}
 	}
@@ -387,7 +402,7 @@
 		left = min(left, a.Wait)
 	}
 	t := l.targets[a.Server]
-	if r.ended || left <= 0 || t == nil || n >= l.set.Module.MaxAttempts {
+	if r.ended || left <= 0 || t == nil || n >= l.set.Load().Module.MaxAttempts {
 		r.attempts = append(r.attempts, func() {})
 		l.events = append(l.events, grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
@@ -402,9 +417,9 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, left)
 	r.attempts = append(r.attempts, cancel)
 	r.out++
-	id, server, msg := r.id, a.Server, &r.message
+	id, server, msg, fields := r.id, a.Server, &r.message, l.set.Load().ReportFields
 	go func() {
-		res := l.pool.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
+		res := l.pool.exchange(attemptCtx, t, msg, sendBy, fields)
 		l.send(input{answer: res.answer, event: grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
@@ -420,8 +435,9 @@
 		})
 		return
 	}
+	set := l.set.Load()
 	go func() {
-		res := l.pool.probe(ctx, t, l.set)
+		res := l.pool.probe(ctx, t, set)
 		l.send(input{event: grebefork.Event{
 			Kind: grebefork.EventProbed, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -129,7 +129,7 @@
 	ctx := t.Context()
 	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
 		members: []member{{ID: "x", HostPort: "127.0.0.1:1", Phase: "Ready"}}})
-	c := &call{class: 2, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/", "x", nil, nil)}
+	c := &call{set: l.set.Load(), class: 2, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/", "x", nil, nil)}
 	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	if len(l.requests) != 1 || l.requests[c.id].out != 1 {
 		t.Fatalf("after the request: %+v", l.requests)
@@ -237,7 +237,7 @@
 	ctx := t.Context()
 	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
 		members: []member{{ID: "x", HostPort: x.addr, Phase: "Ready"}, {ID: "y", HostPort: y.addr, Phase: "Ready"}}})
-	c := &call{deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/keyed/1", "x", nil, nil)}
+	c := &call{set: l.set.Load(), deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/keyed/1", "x", nil, nil)}
 	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	swallower := x
 	select {
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -63,16 +63,16 @@
 // itself on a stale connection and does not tell whether a request's last byte went out, on which it hangs
 // whether the request may have run.
 type pool struct {
-	connectTimeout time.Duration
-	idleClose      time.Duration // 0: never
-	most           int           // connections, idle and in use
-	room           atomic.Int64  // bytes left for large answers
-	counts         figures
+	room   atomic.Int64 // bytes left for large answers
+	counts figures
 
-	mu      sync.Mutex
-	targets map[*target]struct{} // those not retired
-	open    int
-	limit   idleLimit
+	mu             sync.Mutex
+	connectTimeout time.Duration
+	idleClose      time.Duration        // 0: never
+	most           int                  // connections, idle and in use
+	targets        map[*target]struct{} // those not retired
+	open           int
+	limit          idleLimit
 }
 
 // target is a backend's process at an address, and the idle connections to it. Danger: another process may come up
@@ -87,14 +87,19 @@
 
 // newPool returns a pool of so many connections at most, with room for so many bytes of large answers.
 func newPool(s *settings.Settings, most int, room int64) *pool {
-	p := &pool{
-		connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
-		targets: map[*target]struct{}{},
-	}
+	p := &pool{most: most, targets: map[*target]struct{}{}}
 	p.room.Store(room)
+	p.adopt(s)
 	return p
 }
 
+// adopt takes the settings that concern connections.
+func (p *pool) adopt(s *settings.Settings) {
+	p.mu.Lock()
+	p.connectTimeout, p.idleClose = s.ConnectTimeout, s.Module.IdleClose
+	p.mu.Unlock()
+}
+
 // reserve takes room for an answer's body; small ones need none. Danger: as many large ones as there are connections
 // would not fit into the memory.
 func (p *pool) reserve(body int64) bool {
@@ -196,11 +201,11 @@
 		p.open--
 	}
 	p.open++
+	dialer := net.Dialer{Timeout: p.connectTimeout, KeepAlive: -1}
 	p.mu.Unlock()
 	if victim != nil {
 		victim.Close()
 	}
-	dialer := net.Dialer{Timeout: p.connectTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
 		p.mu.Lock()
--- /dev/null
+++ b/internal/agent/reload.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"slices"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
+)
+
+// reload puts a configuration in force, its settings first and then discovery's address, or counts it as rejected.
+func (l *loop) reload(ctx context.Context, r Reload, moves chan<- string) {
+	err := r.Err
+	if err == nil {
+		adopted := make(chan error, 1)
+		l.send(input{adopt: &r.Config.Settings, adopted: adopted})
+		select {
+		case err = <-adopted:
+		case <-ctx.Done():
+			return
+		}
+	}
+	if err != nil {
+		l.pool.counts.total(func(t *totals) { t.rejected++ })
+		l.log.Error("not reloaded, the old configuration stays", "error", err)
+		return
+	}
+	l.pool.counts.total(func(t *totals) { t.applied++ })
+	l.log.Info("reloaded", "discovery", r.Config.Discovery, "classes", r.Config.Settings.Classes,
+		"max_attempts", r.Config.Settings.Module.MaxAttempts)
+	select {
+	case moves <- r.Config.Discovery:
+	case <-ctx.Done():
+	}
+}
+
+// adopt swaps the settings for others, in the module and here, or leaves all as it is.
+func (l *loop) adopt(ctx context.Context, next *settings.Settings) error {
+	if err := l.balancer.Adopt(next.Module); err != nil {
+		return err
+	}
+	old := l.set.Swap(next)
+	l.pool.adopt(next)
+	l.pool.counts.know(next.Classes)
+	if slices.Equal(old.Zones, next.Zones) && slices.Equal(old.Kinds, next.Kinds) || len(l.members) == 0 {
+		return nil
+	}
+	// Danger: zones and kinds are positions in the settings' lists, and those have changed under the servers.
+	var members []member
+	for _, m := range l.members {
+		members = append(members, m)
+	}
+	l.handle(ctx, grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull, Servers: l.entries(members)})
+	return nil
+}
+
+// translate finds a call's class and tenant in the settings now in force, by their names. It is false if the class has
+// gone or has another effect: as what it was read, the request is no longer one that may be sent.
+func (c *call) translate(to *settings.Settings) bool {
+	if c.set == to {
+		return true
+	}
+	i := slices.Index(to.Classes, c.set.Classes[c.class])
+	if i < 0 || to.Module.Classes[i].Effect != c.set.Module.Classes[c.class].Effect {
+		return false
+	}
+	if len(to.Tenants) > 0 {
+		name := ""
+		if len(c.set.Tenants) > 0 {
+			name = c.set.Tenants[c.tenant]
+		}
+		c.tenant = slices.Index(to.Tenants, name)
+	}
+	c.set, c.class = to, i
+	return true
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -140,13 +140,13 @@
 
 // answer gives a request that was taken its answer and counts it.
 func (s *server) answer(w http.ResponseWriter, c *call, a answer) {
-	s.figures.answered(s.loop.set.Classes[c.class], resultOf(a.status))
+	s.figures.answered(c.kind, resultOf(a.status))
 	s.respond(w, a)
 }
 
 // fullAdvice is when to come back to an agent that holds all it can, as far as the settings allow such advice.
 func (s *server) fullAdvice() time.Duration {
-	set := &s.loop.set.Module
+	set := &s.loop.set.Load().Module
 	if !set.RetryAfter {
 		return 0
 	}
@@ -194,7 +194,7 @@
 
 // read checks a request's head, and then reads it to its last byte, from which its budget counts.
 func (s *server) read(w http.ResponseWriter, r *http.Request) (*call, error) {
-	set := s.loop.set
+	set := s.loop.set.Load()
 	// What concerns this connection only goes before anything is checked: it may name what is needed.
 	for _, name := range r.Header["Connection"] {
 		for field := range strings.SplitSeq(name, ",") {
@@ -210,6 +210,7 @@
 		}
 	}
 	c := &call{
+		set:      set,
 		class:    slices.Index(set.Classes, r.Header.Get(classHeader)),
 		retry:    r.Header.Get(retryHeader) == "1",
 		answered: make(chan answer, 1),
@@ -217,6 +218,7 @@
 	if c.class < 0 {
 		return nil, bad("%s is unknown", classHeader)
 	}
+	c.kind = set.Classes[c.class]
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != set.Classes[c.class] ||
 		!strings.HasPrefix(r.RequestURI, "/") {
 		return nil, bad("the path does not begin with the class")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,7 +126,8 @@
 			return all, fmt.Errorf("settings: categories[%d].boundTo: %w", i, err)
 		}
 		s.Classes = append(s.Classes, grebefork.Class{
-			Aim: Millis(c.Aim), Deadline: Millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
+			Name: c.Name,
+			Aim:  Millis(c.Aim), Deadline: Millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
 			Effect: effect, Scope: scope, Window: Millis(c.RepeatWindow),
 			Zones: zones, Kinds: kinds,
 		})
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -73,7 +73,7 @@
 		t.Fatalf("%d records, error %v", len(recs), err)
 	}
 	s := recs[0].Settings
-	want := grebefork.Class{Aim: 380 * time.Millisecond, Deadline: 949 * time.Millisecond, Worth: 8,
+	want := grebefork.Class{Name: s.Classes[0].Name, Aim: 380 * time.Millisecond, Deadline: 949 * time.Millisecond, Worth: 8,
 		Effect: grebefork.Token, Scope: grebefork.ScopeCell, Window: 600 * time.Millisecond,
 		Zones: []int{1}, Kinds: []int{}}
 	if recs[0].Kind != Create || recs[0].Seed != 7 || !reflect.DeepEqual(s.Classes[0], want) || s.Rank != 2 || s.Agents != 3 ||
--- a/state.go
+++ b/state.go
@@ -76,7 +76,7 @@
 
 type class struct {
 	Class
-	index int
+	index int           // of its name, here and in servers' health
 	first time.Duration // how long a client's first try waits
 	usual mean          // time of an answer, seconds
 	line  line
@@ -138,7 +138,8 @@
 	rng      *rand.Rand
 	now      time.Duration
 	out      []Action
-	classes  []class
+	classes  []*class
+	names    []string // of all classes that there have been, by index
 	servers  map[ServerID]*server
 	ring     []*server // all servers, by rank
 	epoch    int       // counts the changes that are worth new lines
@@ -165,27 +166,45 @@
 
 // New returns a Balancer that knows no server yet. Its error names the setting that cannot be right.
 func New(s Settings, seed uint64) (*Balancer, error) {
+	b := &Balancer{
+		rng: rand.New(rand.NewPCG(seed, 0)), servers: map[ServerID]*server{},
+		open: map[RequestID]*request{}, kinds: map[int]*kind{},
+	}
+	return b, b.Adopt(s)
+}
+
+// Adopt takes settings in place of the present ones, all or none. What is learnt of servers stays, and of classes under
+// their names; a request under way keeps the class it was taken with.
+func (b *Balancer) Adopt(s Settings) error {
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("grebefork: %w", err)
+		return fmt.Errorf("grebefork: %w", err)
 	}
 	if s.ExtraWindow == 0 {
 		s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = seconds(retrySpan), retryFloor, retryRatio
 	}
-	b := &Balancer{
-		set: s, rng: rand.New(rand.NewPCG(seed, 0)), epoch: 1, servers: map[ServerID]*server{},
-		open: map[RequestID]*request{}, kinds: map[int]*kind{},
-	}
-	for _, t := range s.Tenants {
-		b.mix = append(b.mix, t.Portion) // until they are seen
-	}
+	old := b.classes
+	b.set, b.epoch, b.classes, b.worth, b.mix = s, b.epoch+1, nil, 0, nil
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
 	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
 	for _, c := range s.Classes {
-		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
-		b.worth += c.Worth / float64(len(s.Classes))
+		n := &class{Class: c, index: slices.Index(b.names, c.Name), usual: mean{c.Aim.Seconds() / 3, true}}
+		if i := slices.IndexFunc(old, func(o *class) bool { return o.Name == c.Name }); i >= 0 {
+			n.usual, n.first = old[i].usual, old[i].first
+		}
+		if n.index < 0 {
+			n.index, b.names = len(b.names), append(b.names, c.Name)
+		}
+		b.classes, b.worth = append(b.classes, n), b.worth+c.Worth/float64(len(s.Classes))
 	}
-	return b, nil
+	for _, t := range s.Tenants {
+		b.mix = append(b.mix, t.Portion) // until they are seen
+	}
+	for _, s := range b.ring {
+		s.rank, s.health = b.order(s.ID), append(s.health, make([]health, len(b.names)-len(s.health))...)
+	}
+	slices.SortFunc(b.ring, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	return nil
 }
 
 // field is a setting under check.
@@ -282,7 +301,7 @@
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.servers[e.ID]
 	if s == nil && e.State != Gone {
-		s = &server{rank: b.order(e.ID), health: make([]health, len(b.classes))}
+		s = &server{rank: b.order(e.ID), health: make([]health, len(b.names))}
 		b.servers[e.ID] = s
 		byRank := func(o *server, rank float64) int { return cmp.Compare(o.rank, rank) }
 		i, _ := slices.BinarySearchFunc(b.ring, s.rank, byRank)
@@ -294,7 +313,7 @@
 // Avoided counts the listed servers that are ejected for every class.
 func (b *Balancer) Avoided(now time.Duration) (n int) {
 	for _, s := range b.ring {
-		in := slices.ContainsFunc(s.health, func(h health) bool { return h.until <= now })
+		in := slices.ContainsFunc(b.classes, func(c *class) bool { return s.health[c.index].until <= now })
 		if !in && s.State != Gone {
 			n++
 		}
--- a/types.go
+++ b/types.go
@@ -37,6 +37,7 @@
 
 // Class describes one kind of request.
 type Class struct {
+	Name      string        // its own, by which it is known when the settings change
 	Aim       time.Duration // an answer within Aim earns the full worth
 	Deadline  time.Duration // how long a client waits over all its tries
 	Worth     float64
@@ -63,7 +64,7 @@
 	ReportsOnProbe
 )
 
-// Settings is all that a Balancer is told at its start. New checks it.
+// Settings is all that a Balancer is told at its start, and again by Adopt. Both check it.
 type Settings struct {
 	Rank, Agents   int // this agent's number, from 0, and how many there are
 	Zone           int // where it is; below 0: not told
