Stream bodies and answers over 64 KiB and take all of HTTP/1.1

Long ones flow through one fixed buffer each, with back-pressure; the module hears EventBegun and neither repeats nor judges them. Chunks beside a length are still refused: the client's connection sees the head that net/http does not show. Ruled out on the way by the test: a read deadline in the past set behind a finished body ended the connection's next request (net/http took it for the client's end).

--- a/balancer.go
+++ b/balancer.go
@@ -57,7 +57,8 @@
 	if ev.ListMode == ListFailed {
 		// Danger: agents that fail together and ask again together fail again.
 		b.asks++
-		b.askIn((0.5 + b.rng.Float64()) * float64(min(b.set.MustAskIn, time.Second<<min(b.asks-1, 5))))
+		wait := min(b.set.MustAskIn, time.Second<<min(b.asks-1, 5)).Seconds()
+		b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: seconds(wait * (0.5 + b.rng.Float64()))})
 		return
 	}
 	b.epoch, b.asks = b.epoch+1, 0
@@ -65,7 +66,7 @@
 		// The list service has a fixed capacity: the agents' first calls are spread by rank.
 		// An old list names servers that have gone and leaves out those in their place, so the slots are short.
 		slot := min(0.6*b.set.MustAskIn.Seconds()/float64(b.set.Agents), askSlot)
-		b.askIn(float64(seconds(slot * (float64(b.set.Rank) + b.rng.Float64()))))
+		b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: seconds(slot * (float64(b.set.Rank) + b.rng.Float64()))})
 	}
 	if ev.ListMode != ListDelta {
 		for _, s := range b.ring { // who is absent from a whole list is gone
@@ -451,7 +452,7 @@
 
 // may is the right to send: the one place that knows placement, effects, groups, windows and drains.
 func (b *Balancer) may(r *request, s *server) bool {
-	if r.ended || b.now >= r.deadline || s.State != Ready || !r.class.eligible(s) ||
+	if r.ended || r.begun || b.now >= r.deadline || s.State != Ready || !r.class.eligible(s) ||
 		len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.SecondCopies ||
 		len(r.attempts) > 0 && !b.withinBudget() {
 		return false
@@ -543,6 +544,9 @@
 	}
 	b.report(s, ev.Load)
 	took := (b.now - a.sent).Seconds()
+	if r.begun { // in the time that the client took for it
+		took = 0
+	}
 	b.judge(r.class, a, ev.Outcome, took/r.class.Aim.Seconds())
 	if ev.Outcome == OK {
 		b.observe(r.class, a, took)
@@ -722,7 +726,7 @@
 		b.act(Action{Kind: ActFollow})
 	case tokenCheck:
 		n := int(token >> 32 & 0xff)
-		if r := b.open[RequestID(token)]; r != nil && n < len(r.attempts) && r.attempts[n].out {
+		if r := b.open[RequestID(token)]; r != nil && !r.begun && n < len(r.attempts) && r.attempts[n].out {
 			// Danger: a costly request, or one on a connection that has gone dead, is no silence of its server,
 			// which answers others meanwhile.
 			a, answers := &r.attempts[n], r.attempts[n].server.used > r.attempts[n].sent
--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"net"
@@ -35,6 +36,7 @@
 	closed bool          // to make room, or by its server
 
 	reading atomic.Bool // part of a request has come; guarded by nothing
+	head    headScan    // the connection's reader's
 }
 
 // Read notes that a request begins. net/http tells only of one whose head is whole.
@@ -43,9 +45,37 @@
 	if n > 0 && !c.reading.Load() {
 		c.reading.Store(true)
 	}
+	c.head.scan(p[:n])
 	return n, err
 }
 
+// headScan sees of a request's head what net/http does not tell: which of the two ways to end a body stand in it.
+type headScan struct {
+	line             []byte // the present one, as far as a name in question reaches
+	lines            int
+	ended            bool // all of the head has been seen
+	length, encoding bool
+}
+
+func (h *headScan) scan(text []byte) {
+	for _, b := range text {
+		switch {
+		case h.ended:
+			return
+		case b != '\n':
+			if len(h.line) < len("Transfer-Encoding:") {
+				h.line = append(h.line, b)
+			}
+			continue
+		}
+		name, _, _ := bytes.Cut(h.line, []byte{':'})
+		h.length = h.length || bytes.EqualFold(name, []byte("Content-Length"))
+		h.encoding = h.encoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		h.ended = h.lines > 0 && len(bytes.TrimRight(h.line, "\r")) == 0
+		h.lines, h.line = h.lines+1, h.line[:0]
+	}
+}
+
 // Accept returns the next connection, for which there is room. Serve calls it from one goroutine.
 func (a *admission) Accept() (net.Conn, error) {
 	for {
@@ -138,6 +168,7 @@
 	case http.StateIdle:
 		c.since = time.Now()
 		c.reading.Store(false)
+		c.head = headScan{line: c.head.line[:0]}
 		if c.place != nil {
 			a.silent.MoveToBack(c.place)
 		} else if !c.closed {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// requestTimeout is how long a client may take to send a request, from its first byte, or from when it connected.
-	requestTimeout = 2500 * time.Millisecond
+	// headTimeout is how long a client may take to send a request's head, from its first byte, or from when it
+	// connected: 2 s, and what a busy core may add.
+	headTimeout = 2300 * time.Millisecond
 	// idleClients is how long a client's connection may be without a request. Danger: clients that ask once and keep
 	// their connection would use up the sockets.
 	idleClients = 2500 * time.Millisecond
@@ -68,7 +69,7 @@
 
 func serve(ctx context.Context, cfg *Config, reloads <-chan Reload, open func() (*net.TCPListener, error), log *slog.Logger) error {
 	own := limitsOf(cfg, 1)
-	pool := newPool(&cfg.Settings, own.backends, own.large)
+	pool := newPool(&cfg.Settings, own.backends)
 	l, err := newLoop(&cfg.Settings, cfg.Seed, pool, log)
 	if err != nil {
 		return err
@@ -85,7 +86,7 @@
 	clients := &admission{most: own.clients}
 	handler := &server{
 		loop: l, figures: &pool.counts, clients: clients, most: int64(own.clients - own.clients/8),
-		drain: &drain{clients: clients, ended: work.Done()}, hurry: make(chan struct{}),
+		drain: &drain{clients: clients, ended: work.Done()}, hurry: make(chan struct{}), buffers: newBuffers(own.streams),
 	}
 	var beside *link
 	if cfg.Console != "" {
@@ -113,7 +114,7 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
+		Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
 		ConnContext: withConn, ConnState: clients.noteState,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -6,8 +6,8 @@
 	// reservedSockets is for the descriptors that are neither clients' nor backends': the standard streams, the
 	// listeners, the runtime's poller, discovery, the console, the link, and connections that are just being closed.
 	reservedSockets = 32
-	// answerShare is the part of the memory that large answers may hold while they are on their way.
-	answerShare = 8
+	// streamShare is the part of the memory that streams may hold.
+	streamShare = 16
 	// collectorShare of the memory is the collector's; the rest is for what it does not count, stacks of the kernel's
 	// and the program's own text among it.
 	collectorShare = 0.7
@@ -17,7 +17,7 @@
 type limits struct {
 	backends  int   // connections
 	clients   int   // connections
-	large     int64 // bytes of large answers
+	streams   int64 // bytes that they hold; it stays as it was at the start
 	collector int64 // bytes
 }
 
@@ -29,7 +29,7 @@
 	return limits{
 		backends:  max(1, (cfg.Sockets/processes-reservedSockets)/2),
 		clients:   min((cfg.Sockets-reservedSockets)/2, cfg.Sockets*3/10),
-		large:     memory / answerShare,
+		streams:   memory / streamShare,
 		collector: int64(collectorShare * float64(memory)),
 	}
 }
@@ -38,5 +38,5 @@
 func (p *pool) share(cfg *Config, processes int) {
 	l := limitsOf(cfg, processes)
 	debug.SetMemoryLimit(l.collector)
-	p.resize(l.backends, l.large)
+	p.resize(l.backends)
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -56,6 +56,7 @@
 	retryAfter  time.Duration // 0: no advice
 	contentType string
 	body        []byte
+	rest        *download // in place of a body that is held
 }
 
 // request is what the loop knows of a call until it is answered and its attempts are back.
@@ -63,6 +64,7 @@
 	*call
 	attempts []context.CancelFunc // to give each up
 	out      int                  // attempts out
+	passing  int                  // 1 + the attempt whose answer flows to the client, 0 for none
 	ended    bool                 // answered, or its client is gone
 }
 
@@ -216,7 +218,9 @@
 		if r == nil || r.ended { // it crossed the answer, if there was one
 			select {
 			case a := <-in.call.answered:
-				l.pool.free(int64(len(a.body)))
+				if a.rest != nil {
+					a.rest.end(errNotTaken)
+				}
 			default:
 			}
 			return
@@ -226,15 +230,23 @@
 		ev.Request = r.id
 		l.handle(ctx, ev)
 		l.forget(r)
+	case grebefork.EventBegun:
+		r := l.requests[ev.Request]
+		if flows := in.answer.rest; flows != nil {
+			if !r.end(in.answer) { // another attempt's answer was first
+				flows.end(errNotTaken)
+				return
+			}
+			r.passing = 1 + ev.Attempt
+		}
+		l.handle(ctx, ev)
 	case grebefork.EventOutcome:
 		l.pool.counts.count(func(t *tally) { t.ended(&ev) })
 		r := l.requests[ev.Request]
 		r.attempts[ev.Attempt]()
 		r.out--
 		if ev.Outcome == grebefork.OK {
-			if !r.end(in.answer) {
-				l.pool.free(int64(len(in.answer.body)))
-			}
+			r.end(in.answer)
 		}
 		ev.Closed = r.ended
 		l.handle(ctx, ev)
@@ -393,7 +405,8 @@
 			l.forget(r)
 		}
 	case grebefork.ActCancel:
-		if r != nil && a.Attempt < len(r.attempts) {
+		// Another attempt's end must not cut off the answer that the client is getting.
+		if r != nil && a.Attempt < len(r.attempts) && r.passing != 1+a.Attempt {
 			r.attempts[a.Attempt]()
 		}
 	case grebefork.ActTimer:
@@ -423,16 +436,29 @@
 		})
 		return
 	}
-	var sendBy time.Time
+	on := &terms{deadline: time.Now().Add(left), fields: l.set.Load().ReportFields}
 	if a.Within > 0 {
-		sendBy = time.Now().Add(a.Within)
+		on.sendBy = time.Now().Add(a.Within)
 	}
-	attemptCtx, cancel := context.WithTimeout(ctx, left)
-	r.attempts = append(r.attempts, cancel)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	on.timer = time.AfterFunc(left, func() { cancel(context.DeadlineExceeded) })
+	r.attempts = append(r.attempts, func() { cancel(context.Canceled) })
 	r.out++
-	id, server, msg, fields := r.id, a.Server, &r.message, l.set.Load().ReportFields
+	id, server, msg := r.id, a.Server, &r.message
+	begun := grebefork.Event{Kind: grebefork.EventBegun, Request: id, Attempt: n, Server: server}
+	on.begun = func() { l.send(input{event: begun}) }
+	on.pass = func(a answer) error {
+		l.send(input{event: begun, answer: a})
+		select {
+		case err := <-a.rest.ended:
+			return err
+		case <-l.done:
+			return errNotTaken
+		}
+	}
 	go func() {
-		res := l.pool.exchange(attemptCtx, t, msg, sendBy, fields)
+		res := l.pool.exchange(attemptCtx, t, msg, on)
+		on.timer.Stop()
 		l.send(input{answer: res.answer, event: grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -8,7 +8,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,8 +62,6 @@
 // itself on a stale connection and does not tell whether a request's last byte went out, on which it hangs
 // whether the request may have run.
 type pool struct {
-	room   atomic.Int64 // bytes left for large answers
-	large  int64        // bytes of them at once; the mutex guards it
 	counts figures
 
 	mu             sync.Mutex
@@ -86,10 +83,9 @@
 	retired bool          // no connection is put back
 }
 
-// newPool returns a pool of so many connections at most, with room for so many bytes of large answers.
-func newPool(s *settings.Settings, most int, room int64) *pool {
-	p := &pool{targets: map[*target]struct{}{}}
-	p.resize(most, room)
+// newPool returns a pool of so many connections at most.
+func newPool(s *settings.Settings, most int) *pool {
+	p := &pool{most: most, targets: map[*target]struct{}{}}
 	p.adopt(s)
 	return p
 }
@@ -101,13 +97,11 @@
 	p.mu.Unlock()
 }
 
-// resize changes how many connections there may be, idle ones closing if they are too many, and how many bytes of large
-// answers.
-func (p *pool) resize(most int, large int64) {
+// resize changes how many connections there may be; idle ones close if they are too many.
+func (p *pool) resize(most int) {
 	var dropped []*conn
 	p.mu.Lock()
-	p.room.Add(large - p.large)
-	p.most, p.large = most, large
+	p.most = most
 	for p.open > p.most {
 		of := p.longestIdle()
 		if of == nil {
@@ -123,23 +117,6 @@
 	}
 }
 
-// reserve takes room for an answer's body; small ones need none. Danger: as many large ones as there are connections
-// would not fit into the memory.
-func (p *pool) reserve(body int64) bool {
-	if body <= maxBody || p.room.Add(-body) >= 0 {
-		return true
-	}
-	p.room.Add(body)
-	return false
-}
-
-// free gives the room of a body back, once nobody holds it any more.
-func (p *pool) free(body int64) {
-	if body > maxBody {
-		p.room.Add(body)
-	}
-}
-
 // target returns a new target.
 func (p *pool) target(addr string, start time.Duration) *target {
 	t := &target{addr: addr, start: start}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -53,7 +53,8 @@
 	loop    *loop
 	figures *figures
 	clients *admission
-	most    int64 // requests held at once
+	buffers buffers // of streams
+	most    int64   // requests held at once
 
 	drain *drain        // while clients are sent away, connections are closed after their answers
 	hurry chan struct{} // closed when what is open is to be answered as failed: the process is about to be killed
@@ -78,6 +79,8 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Danger: a body that nobody reads is read by net/http behind the answer, and would be waited for without an end.
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyGrace))
 	if err := checkFraming(r); err != nil {
 		s.respond(w, err.answer())
 		return
@@ -98,6 +101,17 @@
 	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
 		panic(http.ErrAbortHandler)
 	}
+	if c.message.long != nil {
+		part := s.buffers.try()
+		if part == nil {
+			s.figures.count(func(t *tally) { t.turnedAway++ })
+			s.answer(w, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
+			return
+		}
+		c.message.long.part = part
+		defer s.buffers.put(part)
+		defer c.message.long.stop(http.NewResponseController(w))
+	}
 	defer s.figures.active.Add(-1)
 	if s.figures.active.Add(1) > s.most {
 		s.figures.count(func(t *tally) { t.turnedAway++ })
@@ -107,7 +121,10 @@
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
-		defer s.loop.pool.free(int64(len(a.body)))
+		if a.rest != nil {
+			s.passOn(w, r, c, a)
+			return
+		}
 		s.answer(w, c, a)
 	case <-s.hurry:
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
@@ -148,9 +165,33 @@
 // answer gives a request that was taken its answer and counts it.
 func (s *server) answer(w http.ResponseWriter, c *call, a answer) {
 	s.figures.answered(c.kind, resultOf(a.status))
+	s.finishBody(w, c)
 	s.respond(w, a)
 }
 
+// finishBody ends the reading of a long body before its answer. What was not read is in the way of the next request.
+func (s *server) finishBody(w http.ResponseWriter, c *call) {
+	if u := c.message.long; u != nil && !u.stop(http.NewResponseController(w)) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// passOn gives a request that was taken an answer that flows, and counts it by how it ends.
+func (s *server) passOn(w http.ResponseWriter, r *http.Request, c *call, a answer) {
+	s.finishBody(w, c)
+	s.head(w, a, a.rest.length)
+	err := s.pass(w, r, a.rest)
+	if err == nil {
+		s.figures.answered(c.kind, resultOK)
+		return
+	}
+	s.figures.answered(c.kind, resultErrors)
+	s.figures.count(func(t *tally) { t.lastBreak = err.Error() })
+	// The client has to see that this was not all, also where only the close would end the answer.
+	connOf(r).SetLinger(0)
+	panic(http.ErrAbortHandler)
+}
+
 // fullAdvice is when to come back to an agent that holds all it can, as far as the settings allow such advice.
 func (s *server) fullAdvice() time.Duration {
 	set := &s.loop.set.Load().Module
@@ -163,6 +204,15 @@
 // respond writes an answer. Whether the connection is to close is asked only now: a request that was taken before
 // the agent was told to stop must not leave a connection on which the next one crosses the close.
 func (s *server) respond(w http.ResponseWriter, a answer) {
+	// Danger: a client that reads nothing would hold its answer for good. Where there is no deadline to set the
+	// connection is gone, and writing tells.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.head(w, a, int64(len(a.body)))
+	w.Write(a.body) // a client that does not take it is gone
+}
+
+// head writes the head of an answer with a body of so many bytes, or of as many as will come if that is below 0.
+func (s *server) head(w http.ResponseWriter, a answer, length int64) {
 	h := w.Header()
 	// What else a client sends that has sent nonsense is not to be trusted either.
 	if s.drain.away() != nil || a.status/100 == 4 {
@@ -175,23 +225,22 @@
 	if a.contentType != "" {
 		h.Set("Content-Type", a.contentType)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	// Danger: a client that reads nothing would hold its answer for good. Where there is no deadline to set the
-	// connection is gone, and writing tells.
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	w.WriteHeader(a.status)
-	w.Write(a.body) // a client that does not take it is gone
 }
 
 // checkFraming checks how a request's body is said to end, before any of it is read.
 func checkFraming(r *http.Request) *badRequest {
+	head, chunked := &connOf(r).head, len(r.TransferEncoding) > 0
 	switch {
-	case len(r.TransferEncoding) > 0:
-		// Danger: net/http drops the length that stands beside it, and one of both hides a request in the body
-		// from whoever goes by the other. Clients of the protocol send lengths.
-		return &badRequest{http.StatusLengthRequired, "Transfer-Encoding is not accepted"}
-	case r.ContentLength > maxBody:
-		return &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of over %d bytes", maxBody)}
+	case head.encoding && (head.length || !chunked), chunked && !head.ended:
+		// Danger: net/http drops the length that stands beside chunks, and the chunks of a request that cannot have them,
+		// and one of both hides a request in the body from whoever goes by the other.
+		return &badRequest{http.StatusBadRequest, "Transfer-Encoding and Content-Length do not go together"}
+	case r.ContentLength > maxStream:
+		return &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of over %d bytes", maxStream)}
 	}
 	return nil
 }
@@ -245,19 +294,40 @@
 	if c.callID = r.Header.Get(callIDHeader); c.callID == "" || len(c.callID) > maxCallID {
 		return nil, bad("%s is missing or too long", callIDHeader)
 	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
+	body, long, err := readBody(r, http.NewResponseController(w))
+	if err != nil {
 		return nil, &badRequest{http.StatusRequestTimeout, fmt.Sprintf("the body does not come: %v", err)}
 	}
-	c.deadline = s.loop.clock.now() + budget - answerMargin(budget)
-	// From here on the connection is watched for a client that goes, for as long as the answer takes.
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+	budget -= answerMargin(budget)
+	c.deadline = s.loop.clock.now() + budget
+	if long != nil {
+		long.budget = budget
+	} else if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		// From here on the connection is watched for a client that goes, for as long as the answer takes.
 		return nil, err
 	}
-	c.message = newMessage(r.Method, r.RequestURI, r.Host, r.Header, body)
+	c.message = newMessage(r.Method, r.RequestURI, r.Host, r.Header, body, long)
 	return c, nil
 }
 
+// readBody returns a body that can be held whole, or else what it can be read from.
+func readBody(r *http.Request, rc *http.ResponseController) (body []byte, long *upload, err error) {
+	from := &paced{body: r.Body, rc: rc}
+	if r.ContentLength > maxBody {
+		return nil, &upload{length: r.ContentLength, rest: from}, nil
+	}
+	if r.ContentLength >= 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(from, body)
+		return body, nil, err
+	}
+	body, err = io.ReadAll(io.LimitReader(from, maxBody+1))
+	if len(body) > maxBody {
+		return nil, &upload{length: r.ContentLength, first: body, rest: from}, err
+	}
+	return body, nil, err
+}
+
 // checkEffect checks that a request is sent as its class's effect asks. Danger: a keyed request without its
 // key would be repeated as if backends could tell.
 func checkEffect(effect grebefork.Effect, r *http.Request) error {
--- /dev/null
+++ b/internal/agent/stream_test.go
@@ -0,0 +1,304 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+)
+
+// streaming starts an agent in front of a server that a handler plays.
+func streaming(t *testing.T, handler http.HandlerFunc) *running {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	l := newLists(t, hosts(1, true, host("s", s.Listener.Addr().String(), "Ready", 0)))
+	return start(t, config(t, l.Listener.Addr().String(), testSettings))
+}
+
+// pattern is a text of so many bytes of which no two parts are alike.
+func pattern(n int) []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.Bytes()[:n]
+}
+
+// Bodies of any length and framing go on unchanged, and so do the answers.
+func TestBodiesPassUnchanged(t *testing.T) {
+	a := streaming(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Errorf("the body: %v", err)
+		}
+		switch form := r.URL.Query().Get("form"); form {
+		case "length":
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		case "close":
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			conn.Write(body)
+			conn.Close()
+			return
+		case "hints":
+			w.WriteHeader(http.StatusEarlyHints)
+		case "trailers":
+			w.Header().Set("Trailer", "X-Sum")
+			defer w.Header().Set("X-Sum", "7")
+		}
+		for part := body; len(part) > 0; {
+			n := min(len(part), 10_000)
+			w.Write(part[:n])
+			w.(http.Flusher).Flush()
+			part = part[n:]
+		}
+	})
+	for _, size := range []int{0, 1, maxBody, maxBody + 1, 300_000, 5_000_000} {
+		for _, form := range []string{"length", "chunks", "close", "hints", "trailers"} {
+			for _, framing := range []string{"length", "chunks", "expect"} {
+				body := pattern(size)
+				req := a.request("unsafe", "15000m")
+				req.URL.RawQuery = "form=" + form
+				req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(size)
+				switch framing {
+				case "chunks":
+					req.ContentLength = -1
+					req.Trailer = http.Header{"X-Sum": {"8"}}
+				case "expect":
+					req.Header.Set("Expect", "100-continue")
+				}
+				if status, got := a.do(t, req); status != 200 || got != string(body) {
+					t.Fatalf("%d bytes sent with %s, answered with %s: status %d, %d bytes", size, framing, form, status, len(got))
+				}
+			}
+		}
+	}
+}
+
+// The first bytes of a long answer go on while the rest is still to come, whatever its framing, and a pause within it
+// breaks nothing.
+func TestFirstBytesGoOnAtOnce(t *testing.T) {
+	for _, length := range []string{"", "200000"} {
+		goOn := make(chan struct{})
+		body := pattern(200_000)
+		a := streaming(t, func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			for _, n := range []int{1000, 2000} { // whoever waits for all of a short answer has waited enough
+				w.Write(body[n-1000 : n])
+				w.(http.Flusher).Flush()
+				time.Sleep(2 * wholeTime)
+			}
+			<-goOn
+			w.Write(body[2000:])
+		})
+		resp, err := a.client.Do(a.request("safe", "15000m"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		first := make([]byte, 2000)
+		if _, err := io.ReadFull(resp.Body, first); err != nil {
+			t.Fatal(err)
+		}
+		close(goOn)
+		if rest, err := io.ReadAll(resp.Body); err != nil || string(first)+string(rest) != string(body) {
+			t.Errorf("length %q: %d bytes more, error %v", length, len(rest), err)
+		}
+	}
+}
+
+// A long answer that breaks off, stalls or lies about its length is not whole for the client either, is no second
+// attempt's, and counts as failed.
+func TestBrokenLongAnswers(t *testing.T) {
+	for what, play := range map[string]string{
+		"breaks off":        "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\nhalf",
+		"breaks off chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n",
+		"bad chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\nzz\r\n",
+	} {
+		b := newBackend(t, func(int, *http.Request) (string, bool) { return play, true })
+		a, console := withConsole(t, b)
+		resp, err := a.client.Do(a.request("keyed", "15000m"))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		if err == nil {
+			t.Errorf("%s: the client took it for whole", what)
+		}
+		if n := len(b.got); n != 1 {
+			t.Errorf("%s: sent %d times", what, n)
+		}
+		for begun := time.Now(); !strings.Contains(operator(t, console, "vars\n"), `{kind="keyed",result="errors"} 1`); {
+			if time.Since(begun) > wait {
+				t.Fatalf("%s: not counted as failed", what)
+			}
+		}
+	}
+}
+
+// A long body of which anything was used is never sent again, though its class could be.
+func TestLongBodyIsSentOnce(t *testing.T) {
+	var got atomic.Int64
+	script := func(w http.ResponseWriter, r *http.Request) {
+		got.Add(1)
+		io.CopyN(io.Discard, r.Body, 100_000)
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	x, y := httptest.NewServer(http.HandlerFunc(script)), httptest.NewServer(http.HandlerFunc(script))
+	defer x.Close()
+	defer y.Close()
+	l := newLists(t, hosts(1, true, host("x", x.Listener.Addr().String(), "Ready", 0), host("y", y.Listener.Addr().String(), "Ready", 1)))
+	a := start(t, config(t, l.Listener.Addr().String(), testSettings))
+	for _, size := range []int64{-1, 5_000_000} {
+		got.Store(0)
+		req := a.request("keyed", "15000m")
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(pattern(5_000_000))), size
+		resp, err := a.client.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		if err == nil && resp.StatusCode < 400 || got.Load() != 1 {
+			t.Errorf("length %d: answered %v, error %v, sent %d times", size, resp, err, got.Load())
+		}
+	}
+}
+
+// A body that stalls is answered or closed in time, and no server ever has all of it; one that comes slowly enough to
+// take longer is served.
+func TestBodiesFollowAPace(t *testing.T) {
+	whole := make(chan int, 10)
+	a := streaming(t, func(_ http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); err == nil {
+			whole <- len(body)
+		}
+	})
+	head := "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\nX-Budget: 9000m\r\n%s\r\n"
+	open := func(id, framing string) net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(wait))
+		fmt.Fprintf(c, head, id, framing)
+		return c
+	}
+	for i, c := range []struct{ framing, sent string }{
+		{"Content-Length: 100000\r\n", "some"},
+		{"Transfer-Encoding: chunked\r\n", "5\r\nsome"},
+		{"Transfer-Encoding: chunked\r\n", "11170\r\n" + strings.Repeat("x", 70000) + "\r\n7\r\n"},
+	} {
+		begun := time.Now()
+		conn := open(fmt.Sprint(i), c.framing)
+		io.WriteString(conn, c.sent)
+		answer, _ := io.ReadAll(conn)
+		if took := time.Since(begun); took > 3*time.Second || len(answer) > 0 && answer[9] != '4' && answer[9] != '5' {
+			t.Errorf("%s: answered %q after %v", c.framing, answer, took)
+		}
+	}
+	slow := open("slow", "Content-Length: 100000\r\n")
+	for range 10 { // 10 kB each 150 ms are a little over 64 kB/s
+		slow.Write(make([]byte, 10_000))
+		time.Sleep(150 * time.Millisecond)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("a slow body: %v, error %v", resp, err)
+	}
+	if n := receive(t, "body", whole); n != 100_000 || len(whole) > 0 {
+		t.Errorf("a body of %d bytes came to its end, and %d more", n, len(whole))
+	}
+}
+
+// Streams hold so much and no more: a long body that finds no buffer is refused and never sent.
+func TestStreamsAreBounded(t *testing.T) {
+	some := newBuffers(3 * streamPart)
+	for range 3 {
+		if part := some.try(); len(part) != streamPart {
+			t.Fatalf("a buffer of %d bytes", len(part))
+		}
+	}
+	if some.try() != nil {
+		t.Error("a fourth buffer of three")
+	}
+	some.put(make([]byte, streamPart))
+	if some.get(t.Context()) == nil {
+		t.Error("no buffer though one was put back")
+	}
+	l := newLists(t, hosts(1, true, host("x", "127.0.0.1:1", "Ready", 0)))
+	cfg := config(t, l.Listener.Addr().String(), testSettings)
+	a := start(t, cfg)
+	none := newBuffers(0)
+	none.try()
+	none.try()
+	lp, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := &admission{most: 10}
+	s := &server{loop: lp, figures: &lp.pool.counts, clients: clients, buffers: none, most: 10, drain: &drain{clients: clients}}
+	srv := httptest.NewUnstartedServer(s)
+	tcp, err := listen(t.Context(), "127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients.TCPListener = tcp
+	srv.Listener.Close()
+	srv.Listener, srv.Config.ConnContext, srv.Config.ConnState = clients, withConn, clients.noteState
+	srv.Start()
+	defer srv.Close()
+	req := a.request("unsafe", "15000m")
+	req.URL.Host = tcp.Addr().String()
+	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(pattern(100_000))), 100_000
+	if status, _ := a.do(t, req); status != statusRefused || len(lp.inputs) > 0 {
+		t.Errorf("answered %d with %d inputs for the loop", status, len(lp.inputs))
+	}
+}
+
+// An answer that flows to the client is its only one: what another attempt brings is dropped, and ending that attempt's
+// rivals does not cut it off.
+func TestFlowingAnswerIsTheOnlyOne(t *testing.T) {
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := [2]bool{}
+	c := &call{set: l.set.Load(), answered: make(chan answer, 1), id: 7}
+	r := &request{call: c, attempts: []context.CancelFunc{func() { cut[0] = true }, func() { cut[1] = true }}, out: 2}
+	l.requests[7] = r
+	flows := func(attempt int) *download {
+		d := &download{ended: make(chan error, 1)}
+		l.take(t.Context(), input{answer: answer{status: 200, rest: d},
+			event: grebefork.Event{Kind: grebefork.EventBegun, Request: 7, Attempt: attempt}})
+		return d
+	}
+	first, second := flows(0), flows(1)
+	if err := receive(t, "end of the second", second.ended); !errors.Is(err, errNotTaken) || len(first.ended) > 0 {
+		t.Errorf("the second ends with %v", err)
+	}
+	if got := receive(t, "answer", c.answered); got.rest != first {
+		t.Errorf("answered %+v", got)
+	}
+	for i := range cut {
+		l.act(t.Context(), &grebefork.Action{Kind: grebefork.ActCancel, Request: 7, Attempt: i})
+	}
+	if cut != [2]bool{false, true} {
+		t.Errorf("cut off: %v", cut)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -71,6 +71,7 @@
 	attempts      []attempt
 	out           int // attempts out
 	ended         bool
+	begun         bool // it cannot be had again, nor its answer
 	draws         int
 }
 
@@ -331,6 +332,10 @@
 		b.onRequest(&ev)
 	case EventOutcome:
 		b.onOutcome(&ev)
+	case EventBegun:
+		if r := b.open[ev.Request]; r != nil {
+			r.begun = true
+		}
 	case EventHangup:
 		if r := b.open[ev.Request]; r != nil {
 			b.end(r, false)
@@ -351,7 +356,3 @@
 )
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func (b *Balancer) askIn(wait float64) {
-	b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: time.Duration(wait)})
-}
--- a/types.go
+++ b/types.go
@@ -151,7 +151,7 @@
 const (
 	EventList    EventKind = iota // the server list [ListMode, Servers]
 	EventRequest                  // a request, owed one answer [Request, Class, Tenant, Left, Retry]
-	EventBegun                    // a streamed answer has started [Request, Attempt, Server]
+	EventBegun                    // its body or answer flows and cannot be had again [Request]
 	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Latency, Closed, Load]
 	EventHangup                   // the client has gone [Request]: nothing more is owed
 	EventTimer                    // an ActTimer fell due [Token]
