Cut off no slow request: hold it to its own time, and read a refused one to its end

Two causes. net/http holds the first four bytes of a request on a kept connection to the idle time (2.5 s): 53 down to 27 with the time counted from the first byte. And a refused client that was still sending had its connection closed, by which the kernel drops the answer too: 23 down to 0 with the body read to its end behind the answer. Ruled out by new log counters, bad.requests=0 and bad.half_heads=0 on all lines: requests turned down, and heads that ran out of time.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -18,6 +18,7 @@
 // connections shut out all others.
 type admission struct {
 	*net.TCPListener
+	figures   *figures
 	most      int
 	finishing atomic.Bool    // no connection is waited for any more
 	closed    bool           // the listener is; Accept's
@@ -35,15 +36,19 @@
 	since  time.Time     // among the silent since then
 	closed bool          // to make room, or by its server
 
-	reading atomic.Bool // part of a request has come; guarded by nothing
-	head    headScan    // the connection's reader's
+	reading atomic.Bool  // part of a request has come; guarded by nothing
+	begun   atomic.Int64 // when it had; before the first, when the connection came
+	head    headScan     // the connection's reader's
 }
 
-// Read notes that a request begins. net/http tells only of one whose head is whole.
+// Read notes that a request begins. net/http tells only of one whose head is whole, and holds the first bytes of one to
+// the time that a connection may be idle.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.reading.Load() {
-		c.reading.Store(true)
+	if n > 0 && c.reading.CompareAndSwap(false, true) && c.head.later {
+		now := time.Now()
+		c.begun.Store(now.UnixNano())
+		c.SetReadDeadline(now.Add(headTimeout))
 	}
 	c.head.scan(p[:n])
 	return n, err
@@ -53,6 +58,7 @@
 type headScan struct {
 	line             []byte // the present one, as far as a name in question reaches
 	lines            int
+	later            bool // it is not the connection's first
 	ended            bool // all of the head has been seen
 	length, encoding bool
 }
@@ -84,6 +90,7 @@
 			return nil, err
 		}
 		c := &clientConn{TCPConn: tcp}
+		c.begun.Store(time.Now().UnixNano())
 		if a.admit(c) {
 			return c, nil
 		}
@@ -168,7 +175,7 @@
 	case http.StateIdle:
 		c.since = time.Now()
 		c.reading.Store(false)
-		c.head = headScan{line: c.head.line[:0]}
+		c.head = headScan{line: c.head.line[:0], later: true}
 		if c.place != nil {
 			a.silent.MoveToBack(c.place)
 		} else if !c.closed {
@@ -176,6 +183,9 @@
 		}
 	case http.StateClosed:
 		a.release(c)
+		if c.reading.Load() && !c.head.ended {
+			a.figures.count(func(t *tally) { t.halfHeads++ })
+		}
 	}
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,7 +18,7 @@
 const (
 	// headTimeout is how long a client may take to send a request's head, from its first byte, or from when it
 	// connected: 2 s, and what a busy core may add.
-	headTimeout = 2300 * time.Millisecond
+	headTimeout = 2600 * time.Millisecond
 	// idleClients is how long a client's connection may be without a request. Danger: clients that ask once and keep
 	// their connection would use up the sockets.
 	idleClients = 2500 * time.Millisecond
@@ -83,7 +83,7 @@
 	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	d.startFrom(cfg.known)
 	l.follow = d.asked
-	clients := &admission{most: own.clients}
+	clients := &admission{figures: &pool.counts, most: own.clients}
 	handler := &server{
 		loop: l, figures: &pool.counts, clients: clients, most: int64(own.clients - own.clients/8),
 		drain: &drain{clients: clients, ended: work.Done()}, hurry: make(chan struct{}), buffers: newBuffers(own.streams),
--- a/internal/agent/figures.go
+++ b/internal/agent/figures.go
@@ -72,6 +72,9 @@
 	probes, probesFailed int                          //
 	reports              int                          // answers that told a load
 	lastBreak            string                       // why the last answer did not come whole
+	badRequests          int                          // turned down before they were taken
+	lastBad              string                       // why the last of them was
+	halfHeads            int                          // connections that ended within a request's head
 	slowestLoop          time.Duration                // longest that one input kept the loop
 }
 
@@ -143,7 +146,8 @@
 			"timeout", of(grebefork.Timeout), "connect", of(grebefork.ConnectFailed), "reset", of(grebefork.Reset),
 			"cancelled", of(grebefork.Cancelled), "moot", of(grebefork.Moot)),
 		slog.Group("connections", "dialed", t.dialed, "reused", t.reused, "broken_reused", t.brokenReused),
-		"last_break", t.lastBreak, "probes", t.probes, "probes_failed", t.probesFailed, "reports", t.reports,
+		"last_break", t.lastBreak,
+		slog.Group("bad", "requests", t.badRequests, "last", t.lastBad, "half_heads", t.halfHeads), "probes", t.probes, "probes_failed", t.probesFailed, "reports", t.reports,
 		"slowest_loop", t.slowestLoop,
 		slog.Group("servers", "ready", ready, "draining", draining))
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -82,7 +82,7 @@
 	// Danger: a body that nobody reads is read by net/http behind the answer, and would be waited for without an end.
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyGrace))
 	if err := checkFraming(r); err != nil {
-		s.respond(w, err.answer())
+		s.turnDown(w, err)
 		return
 	}
 	if r.URL.Path == readyPath {
@@ -96,7 +96,7 @@
 	var b *badRequest
 	switch {
 	case errors.As(err, &b):
-		s.respond(w, b.answer())
+		s.turnDown(w, b)
 		return
 	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
 		panic(http.ErrAbortHandler)
@@ -148,6 +148,15 @@
 	return nil
 }
 
+// turnDown answers what was never taken.
+func (s *server) turnDown(w http.ResponseWriter, why *badRequest) {
+	s.figures.count(func(t *tally) {
+		t.badRequests++
+		t.lastBad = why.what
+	})
+	s.respond(w, why.answer())
+}
+
 // calls are what the operators may ask on the console.
 func (s *server) calls() map[string]func(io.Writer) error {
 	return map[string]func(io.Writer) error{
@@ -167,11 +176,14 @@
 	s.figures.answered(c.kind, resultOf(a.status))
 	s.finishBody(w, c)
 	s.respond(w, a)
+	if u := c.message.long; u != nil && !u.done.Load() && http.NewResponseController(w).Flush() == nil {
+		u.discard()
+	}
 }
 
-// finishBody ends the reading of a long body before its answer. What was not read is in the way of the next request.
+// finishBody notes, before its answer, that a long body has not come to its end: the rest is in the way of a next request.
 func (s *server) finishBody(w http.ResponseWriter, c *call) {
-	if u := c.message.long; u != nil && !u.stop(http.NewResponseController(w)) {
+	if u := c.message.long; u != nil && !u.done.Load() {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -312,7 +324,7 @@
 
 // readBody returns a body that can be held whole, or else what it can be read from.
 func readBody(r *http.Request, rc *http.ResponseController) (body []byte, long *upload, err error) {
-	from := &paced{body: r.Body, rc: rc}
+	from := &paced{body: r.Body, rc: rc, begun: time.Unix(0, connOf(r).begun.Load())}
 	if r.ContentLength > maxBody {
 		return nil, &upload{length: r.ContentLength, rest: from}, nil
 	}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -17,10 +17,12 @@
 	maxStream  = 40 << 20 // bytes of a body; clients send up to 32 MB
 	streamPart = 32 << 10 // bytes that a stream holds at once
 	// bodyRate is how many bytes a second of a body have to come, a little under the 64 kB that clients may take them
-	// at, after bodyGrace. Together with the time for a head, a peer that stalls is answered within 3 s.
-	bodyRate  = 56_000
-	bodyGrace = 500 * time.Millisecond
-	bodyGap   = 2 * time.Second
+	// at, after bodyGrace or, if that is later, requestTime from when the request began: a peer that stalls is answered
+	// within 3 s.
+	bodyRate    = 56_000
+	bodyGrace   = 300 * time.Millisecond
+	requestTime = 2800 * time.Millisecond
+	bodyGap     = 2 * time.Second
 	// answerGap is the longest that a server may pause within a long answer, and takeGap the longest that a client or a
 	// server may take for what a stream holds.
 	answerGap = 3 * time.Second
@@ -81,15 +83,17 @@
 // paced reads a client's body and holds the client to its pace. Time in which nobody reads does not count: then it is a
 // server that does not take the body.
 type paced struct {
-	body io.Reader
-	rc   *http.ResponseController
-	got  int64
-	took time.Duration
+	body  io.Reader
+	rc    *http.ResponseController
+	begun time.Time // the request
+	got   int64
+	took  time.Duration
 }
 
 func (p *paced) Read(b []byte) (int, error) {
 	left := bodyGrace + time.Duration(p.got)*time.Second/bodyRate - p.took
 	begun := time.Now()
+	left = max(left, p.begun.Add(requestTime).Sub(begun))
 	if err := p.rc.SetReadDeadline(begun.Add(min(left, bodyGap))); err != nil {
 		return 0, err
 	}
@@ -142,18 +146,28 @@
 	return n, err
 }
 
-// stop keeps the body from being read any further, and says whether its connection can carry another request. Danger:
-// once the client's handler has returned, the connection is the next request's.
-func (u *upload) stop(rc *http.ResponseController) (clean bool) {
+// discard reads the rest of the body and drops it. Danger: a client that is still sending when its connection closes may
+// never see the answer, which the kernel drops with the connection.
+func (u *upload) discard() {
+	var part [4 << 10]byte
+	for {
+		if _, err := u.read(part[:]); err != nil {
+			return
+		}
+	}
+}
+
+// stop keeps the body from being read any further. Danger: once the client's handler has returned, the connection is the
+// next request's.
+func (u *upload) stop(rc *http.ResponseController) {
 	if u.done.Load() {
-		return true
+		return
 	}
 	// Ends a read that waits, and all use of the connection: net/http takes it for the client's end.
 	rc.SetReadDeadline(time.Unix(1, 0))
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.rest = nil
-	return false
+	u.mu.Unlock()
 }
 
 // send passes the body on to a server as that takes it.
