Give a body's buffer back when its sender is done, not when its handler is

Found in review: the handler gave the buffer back on its way out, while an attempt could still be writing from it; another request's bytes would have gone out as the end of this one's body (server.go, ServeHTTP). Whoever claims the body owns the buffer now.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -176,6 +176,7 @@
 		_, err := c.Write(m.encode(time.Until(on.deadline)))
 		return err
 	}
+	defer m.long.release()
 	on.begun()
 	on.timer.Stop() // until the client has sent all of it
 	if _, err := c.Write(m.encode(m.long.budget)); err != nil {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -102,15 +102,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	if c.message.long != nil {
-		part := s.buffers.try()
-		if part == nil {
+		if !c.message.long.admit(s.buffers) {
 			s.figures.count(func(t *tally) { t.turnedAway++ })
 			s.answer(w, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
 			return
 		}
-		c.message.long.part = part
-		defer s.buffers.put(part)
-		defer c.message.long.stop(http.NewResponseController(w))
+		defer func() {
+			c.message.long.stop(http.NewResponseController(w))
+			if c.message.long.claim() { // no attempt has
+				c.message.long.release()
+			}
+		}()
 	}
 	defer s.figures.active.Add(-1)
 	if s.figures.active.Add(1) > s.most {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -110,10 +110,11 @@
 
 // upload is a body that is too long to be held. It can be used once.
 type upload struct {
-	first  []byte // read already
-	length int64  // below 0: not told
-	budget time.Duration
-	part   []byte // what it holds at once
+	first   []byte // read already
+	length  int64  // below 0: not told
+	budget  time.Duration
+	buffers buffers
+	part    []byte // what it holds at once; whoever has claimed the body gives it back
 
 	done atomic.Bool // it was read to its end
 
@@ -122,7 +123,13 @@
 	used bool   // somebody has taken it
 }
 
-// claim takes the body for an attempt; the first one gets it.
+// admit finds a buffer for the body, if there is one.
+func (u *upload) admit(from buffers) bool {
+	u.buffers, u.part = from, from.try()
+	return u.part != nil
+}
+
+// claim takes the body for an attempt, or for its end without one; the first one gets it, and releases it.
 func (u *upload) claim() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -133,6 +140,10 @@
 	return true
 }
 
+// release gives the buffer back. Danger: an attempt may still be writing from it when its client's handler has returned,
+// and another request's body would go out in this one's place.
+func (u *upload) release() { u.buffers.put(u.part) }
+
 func (u *upload) read(b []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -166,8 +177,8 @@
 	// Ends a read that waits, and all use of the connection: net/http takes it for the client's end.
 	rc.SetReadDeadline(time.Unix(1, 0))
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.rest = nil
-	u.mu.Unlock()
 }
 
 // send passes the body on to a server as that takes it.
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -225,6 +225,43 @@
 	}
 }
 
+// The buffer of a body goes back once: by the attempt that has claimed the body, however it ends, or else by the handler.
+func TestBufferIsGivenBack(t *testing.T) {
+	none := func(net.Conn) {}
+	for what, play := range map[string]func(net.Conn){"taken": none, "cut off": func(c net.Conn) { c.Close() }} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				play(c)
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					io.WriteString(c, okText)
+				}
+			}
+		}()
+		cfg := config(t, "127.0.0.1:1", testSettings)
+		p := newPool(&cfg.Settings, 4)
+		store := newBuffers(2 * streamPart)
+		u := &upload{length: 100_000, budget: wait, rest: &paced{body: bytes.NewReader(pattern(100_000)), rc: http.NewResponseController(httptest.NewRecorder())}}
+		if !u.admit(store) || len(store) != 1 {
+			t.Fatal("no buffer")
+		}
+		m := newMessage("POST", "/", "x", nil, nil, u)
+		on := &terms{begun: func() {}, timer: time.AfterFunc(wait, func() {}), deadline: time.Now().Add(wait)}
+		p.exchange(t.Context(), p.target(l.Addr().String(), 0), &m, on)
+		if len(store) != 2 || u.claim() {
+			t.Errorf("%s: %d buffers are free", what, len(store))
+		}
+	}
+}
+
 // A client that is refused while it is still sending hears so, and is not cut off: its connection is read to the body's
 // end before it closes.
 func TestRefusedWhileSending(t *testing.T) {
