--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -21,7 +21,7 @@
 // of the other process, however that came.
 type link struct {
 	path   string
-	shared func(processes int) // how many there are now
+	shared func(processes int) // told how many there are now; it must not wait
 	log    *slog.Logger
 
 	mu       sync.Mutex
@@ -101,8 +101,8 @@
 	if k.ready && !k.leaving {
 		tellReady(peer)
 	}
+	k.shared(processes) // under the mutex, or an older number could come last
 	k.mu.Unlock()
-	k.shared(processes)
 	k.log.Info("another process of this agent runs", "processes", processes)
 	go func() {
 		said := make([]byte, 1)
@@ -129,8 +129,8 @@
 	if k.ready && !k.leaving {
 		err = k.take() // the other may have had the name
 	}
-	k.mu.Unlock()
 	k.shared(processes)
+	k.mu.Unlock()
 	k.log.Info("another process of this agent has ended", "processes", processes, "error", err)
 }
 
