--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -48,7 +48,7 @@
 		return Reload{Err: err}
 	}
 	if key := lacks(present.file, next.file, ""); key != "" {
-		return Reload{Err: fmt.Errorf("configuration %s: %s is missing", path, key)}
+		return Reload{Err: fmt.Errorf("configuration %s: %s: missing", path, key)}
 	}
 	return Reload{Config: next}
 }
@@ -121,6 +121,14 @@
 	return cfg, nil
 }
 
+// required is what a file has to say: what it leaves out would be taken for zeros.
+var required, _ = decoded([]byte(`{"name":"","listen":"","discovery":"","seed":"",
+	"limits":{"cores":1,"memory_mb":1,"sockets":1},
+	"settings":{"replicasOfMe":1,
+		"categories":[{"name":"","aim":1,"deadline":1,"credit":1,"effect":""}],
+		"limits":{"maxAttempts":1,"connectTimeout":1},
+		"rules":{"coldFrom":1,"overloadFactor":1}}}`))
+
 func parseConfig(text []byte) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Console, Seed string
@@ -144,6 +152,9 @@
 	if cfg.file, err = decoded(text); err != nil {
 		return nil, err
 	}
+	if key := lacks(required, cfg.file, ""); key != "" {
+		return nil, fmt.Errorf("%s: missing", key)
+	}
 	if _, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -169,9 +180,6 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	if len(f.Settings) == 0 {
-		return nil, errors.New("settings: missing")
-	}
 	if cfg.Settings, err = settings.Parse(f.Settings); err != nil {
 		return nil, err
 	}
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -36,6 +36,10 @@
 		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":0`},
 		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
 		{"report.how", `"off"`, `"odd"`},
+		{"settings.categories[2].credit", `"credit":1,"effect":"side_effect"`, `"effect":"side_effect"`},
+		{"settings.limits.maxAttempts", `"maxAttempts":3,`, ``},
+		{"settings", `"settings"`, `"sets"`},
+		{"console", `"seed"`, `"console":"here","seed"`},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
 		_, err := parseConfig([]byte(text))
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -40,7 +40,7 @@
 		{"settings", `"settings":` + testSettings, `"x":1`},
 		{"discovery", `"discovery":"127.0.0.1:1",`, ``},
 		{"settings.rules.warmAfter", `"warmAfter":1000,`, ``},
-		{"ColdFrom", `"rules":{`, `"x":{`},
+		{"settings.rules", `"rules":{`, `"x":{`},
 		{"rules", `"rules":{`, `"rules":7,"x":{`},
 		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":-1`},
 		{"maxAttempts", `"maxAttempts":3`, `"maxAttempts":"3"`},
