--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1652,3 +1652,31 @@
 		t.Errorf("a request of the new class: %+v", send)
 	}
 }
+
+// Two processes of one agent that divide its traffic send a cold server no more than one with all of it: the budget is a
+// share of what is sent.
+func TestColdBudgetOfTwoProcesses(t *testing.T) {
+	sent := func(processes int) (n int) {
+		set := settings()
+		set.Agents = 4
+		var all []*bench
+		for range processes {
+			list := fleet(10)
+			list[0].Start = time.Hour - ms // it has just started
+			all = append(all, start(t, set, list...))
+		}
+		for id := range RequestID(8000) {
+			x := all[int(id)%processes]
+			for _, a := range x.ask(id+1, pure) {
+				if a.Kind == ActSend && a.Server == 1 {
+					n++
+				}
+			}
+			x.ends(id+1, 0, OK)
+		}
+		return n
+	}
+	if one, two := sent(1), sent(2); two > one+one/4 {
+		t.Errorf("one process sends %d to the cold server, two send %d", one, two)
+	}
+}
--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -187,3 +187,70 @@
 	notify(t, cmd, syscall.SIGTERM)
 	ends(t, cmd, stderr)
 }
+
+// Several signals in a row, with broken files among them, end with the last good file in use.
+func TestManyHangups(t *testing.T) {
+	addr, asked := discovery(t)
+	last, askedLast := discovery(t)
+	listen := freeAddr(t)
+	cmd, stderr, path := program(t, fmt.Sprintf(config, listen, addr, 1))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	follows(t, asked)
+	for _, text := range []string{"", fmt.Sprintf(config, listen, addr, 2), "{", fmt.Sprintf(config, listen, last, 3)} {
+		next := path + ".new"
+		if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(next, path); err != nil {
+			t.Fatal(err)
+		}
+		notify(t, cmd, syscall.SIGHUP)
+		notify(t, cmd, syscall.SIGHUP)
+	}
+	follows(t, askedLast)
+	notify(t, cmd, syscall.SIGTERM)
+	ends(t, cmd, stderr)
+}
+
+// A process that was killed leaves nothing behind that keeps the next one from its console, its address and its end.
+func TestStartAfterAKill(t *testing.T) {
+	addr, _ := discovery(t)
+	t.Setenv("TMPDIR", t.TempDir())
+	text := strings.Replace(fmt.Sprintf(config, freeAddr(t), addr, 1), `"seed"`, fmt.Sprintf(`"console":%q,"seed"`, freeAddr(t)), 1)
+	console := text[strings.Index(text, `"console":"`)+len(`"console":"`):]
+	console = console[:strings.Index(console, `"`)]
+	for i := range 2 {
+		cmd, stderr, _ := program(t, text)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for begun := time.Now(); call(console, "check") != "ok\n"; time.Sleep(10 * time.Millisecond) {
+			if time.Since(begun) > wait {
+				t.Fatalf("start %d: check is answered %q", i, call(console, "check"))
+			}
+		}
+		if i == 0 {
+			notify(t, cmd, syscall.SIGKILL)
+			io.Copy(io.Discard, stderr)
+			cmd.Wait()
+			continue
+		}
+		notify(t, cmd, syscall.SIGTERM)
+		ends(t, cmd, stderr)
+	}
+}
+
+// call makes one call on a console and returns its answer.
+func call(console, name string) string {
+	c, err := net.Dial("tcp", console)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(wait))
+	fmt.Fprintln(c, name)
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
