Take an answer whose time is up as it begins to flow for a time-out

Found in review: a timer that has fired may not have ended the context yet, and stream then returned no error (backend.go, stream): an answer of 200 without its body. Also tests what the module does with a request that flows (EventBegun).

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1680,3 +1680,28 @@
 		t.Errorf("one process sends %d to the cold server, two send %d", one, two)
 	}
 }
+
+// A request whose body or answer flows cannot be had again: nothing repeats it, its silence blames nobody, and the time
+// that its client took teaches no speed.
+func TestBegun(t *testing.T) {
+	for _, how := range []Outcome{Full, ConnectFailed, Reset, Error, Moot} {
+		x := start(t, settings(), fleet(3)...)
+		x.ask(1, pure)
+		x.on(Event{Kind: EventBegun, Request: 1})
+		acts := x.ends(1, 0, how)
+		if none(t, acts, ActSend); one(t, acts, ActRefuse).Request != 1 || len(x.b.open) > 0 {
+			t.Errorf("outcome %d: %+v", how, acts)
+		}
+	}
+	x := start(t, settings(), fleet(3)...)
+	acts := x.ask(1, pure)
+	s, check := x.b.servers[one(t, acts, ActSend).Server], one(t, acts, ActTimer)
+	usual := x.b.classes[pure].usual
+	x.on(Event{Kind: EventBegun, Request: 1})
+	x.now += 20 * time.Second
+	none(t, x.on(Event{Kind: EventTimer, Token: check.Token}), ActSend, ActTimer)
+	x.ends(1, 0, OK)
+	if s.health[pure].bad > 0 || x.b.classes[pure].usual != usual || x.b.ahead.known || len(x.b.open) > 0 {
+		t.Errorf("blamed %v, usual answer %v, was %v", s.health[pure].bad, x.b.classes[pure].usual, usual)
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -99,7 +99,7 @@
 		r.outcome = grebefork.Moot // it never ran, and the backend is not to blame
 	case !written: // its last byte never went out: it cannot have run
 		r.outcome = grebefork.ConnectFailed
-	case cause != nil:
+	case cause != nil, errors.Is(err, context.DeadlineExceeded):
 		r.outcome = grebefork.Timeout
 	default:
 		r.outcome = grebefork.Reset
@@ -154,7 +154,7 @@
 	}
 	resp, body, rest, err := c.read()
 	if err == nil && rest != nil {
-		err = p.stream(ctx, c, resp, body, rest, on)
+		err = p.stream(c, resp, body, rest, on)
 		body = nil
 	}
 	if err != nil {
@@ -190,7 +190,7 @@
 }
 
 // stream passes on an answer that is too long to be held; its first bytes were in time, and no deadline holds from here.
-func (p *pool) stream(ctx context.Context, c *conn, resp *http.Response, first []byte, rest io.Reader, on *terms) error {
+func (p *pool) stream(c *conn, resp *http.Response, first []byte, rest io.Reader, on *terms) error {
 	if outcomeOf(resp) != grebefork.OK {
 		resp.Close = true // nobody wants the rest
 		return nil
@@ -199,7 +199,7 @@
 		return errors.New("an answer that is too long")
 	}
 	if !on.timer.Stop() {
-		return context.Cause(ctx)
+		return context.DeadlineExceeded // its time was up in this moment; the context may not know yet
 	}
 	return on.pass(answer{
 		status: http.StatusOK, contentType: resp.Header.Get("Content-Type"),
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -205,6 +205,7 @@
 	if err := write(u.first); err != nil {
 		return err
 	}
+	u.first = nil
 	for {
 		n, err := u.read(u.part)
 		if werr := write(u.part[:n]); werr != nil {
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -225,6 +225,27 @@
 	}
 }
 
+// An answer whose time is up as it begins to flow is a time-out, and nothing of it is passed on.
+func TestLongAnswerAtTheLastMoment(t *testing.T) {
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\nhalf", false
+	})
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	p := newPool(&cfg.Settings, 4)
+	m := newMessage("GET", "/", "x", nil, nil, nil)
+	fired := time.AfterFunc(0, func() {}) // but the context has not heard of it
+	for fired.Stop() {
+		fired.Reset(0)
+	}
+	r := p.exchange(t.Context(), p.target(b.addr, 0), &m, &terms{
+		deadline: time.Now().Add(wait), timer: fired,
+		pass: func(answer) error { t.Error("passed on"); return nil },
+	})
+	if r.outcome != grebefork.Timeout {
+		t.Errorf("outcome %d", r.outcome)
+	}
+}
+
 // The buffer of a body goes back once: by the attempt that has claimed the body, however it ends, or else by the handler.
 func TestBufferIsGivenBack(t *testing.T) {
 	none := func(net.Conn) {}
