--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -19,7 +19,8 @@
 type admission struct {
 	*net.TCPListener
 	figures   *figures
-	most      int
+	most      int            // connections, of which one without a request goes for each further one,
+	busy      int            // and so many where all have a request
 	finishing atomic.Bool    // no connection is waited for any more
 	closed    bool           // the listener is; Accept's
 	waiting   []*net.TCPConn // that it had then; Accept's
@@ -125,11 +126,13 @@
 	a.mu.Lock()
 	var victim *clientConn
 	if a.open >= a.most {
-		if a.silent.Len() == 0 {
+		victim = a.longestSilent()
+		if victim == nil && a.open >= max(a.most, a.busy) {
 			a.mu.Unlock()
 			return false
 		}
-		victim = a.silent.Front().Value.(*clientConn)
+	}
+	if victim != nil {
 		a.release(victim)
 	}
 	a.open++
@@ -141,6 +144,20 @@
 	return true
 }
 
+// longestSilent finds the connection that is to make room, if any can. One that is bringing a request goes last, and only
+// when there is no other room. The mutex is held.
+func (a *admission) longestSilent() *clientConn {
+	for e := a.silent.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); !c.reading.Load() {
+			return c
+		}
+	}
+	if a.open >= max(a.most, a.busy) && a.silent.Len() > 0 {
+		return a.silent.Front().Value.(*clientConn)
+	}
+	return nil
+}
+
 // release takes a connection out of the count. The mutex is held.
 func (a *admission) release(c *clientConn) {
 	if c.closed {
@@ -166,6 +183,15 @@
 	return !c.closed
 }
 
+// answered notes that a connection is kept only to read what its client goes on to send: it may be closed again.
+func (a *admission) answered(c *clientConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.place == nil && !c.closed {
+		c.place, c.since = a.silent.PushBack(c), time.Now()
+	}
+}
+
 // noteState follows what net/http makes of a connection.
 func (a *admission) noteState(conn net.Conn, state http.ConnState) {
 	c := conn.(*clientConn)
@@ -189,14 +215,15 @@
 	}
 }
 
-// closeIdle closes the connections that have been without a request for so long, and bring none just now.
-func (a *admission) closeIdle(grace time.Duration) {
+// closeIdle closes the connections that have been without a request since then or longer; those that bring one just now
+// only if they are to go all the same.
+func (a *admission) closeIdle(since time.Time, reading bool) {
 	var idle []*clientConn
 	a.mu.Lock()
 	for e := a.silent.Front(); e != nil; {
 		c := e.Value.(*clientConn)
 		e = e.Next()
-		if time.Since(c.since) >= grace && !c.reading.Load() {
+		if !c.since.After(since) && (reading || !c.reading.Load()) {
 			idle = append(idle, c)
 			a.release(c)
 		}
@@ -250,18 +277,21 @@
 	return waiting, nil
 }
 
-// count is how many connections there are.
-func (a *admission) count() int {
+// count is how many connections there are, and how many of them have no request open.
+func (a *admission) count() (open, silent int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.open
+	return a.open, a.silent.Len()
 }
 
 // emptied waits until all connections have ended, or the context has.
 func (a *admission) emptied(ctx context.Context) {
 	look := time.NewTicker(leaveLook)
 	defer look.Stop()
-	for a.count() > 0 {
+	for {
+		if open, _ := a.count(); open == 0 {
+			return
+		}
 		select {
 		case <-look.C:
 		case <-ctx.Done():
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -122,6 +122,12 @@
 	if z := (&clientConn{}); a.admit(z) {
 		t.Error("a connection with an open request made room")
 	}
+	a.busy = 2 // where all have a request there is room for some more
+	z := &clientConn{TCPConn: y.TCPConn}
+	if !a.admit(z) || !a.take(z) || a.admit(&clientConn{}) {
+		t.Errorf("%d connections are open where two may be busy", a.open)
+	}
+	a.noteState(z, http.StateClosed)
 	a.noteState(x, http.StateClosed)
 	a.noteState(y, http.StateIdle)
 	a.noteState(y, http.StateClosed)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,7 @@
 	// lastAnswers is how long before that what is still open is answered as failed, or it would be lost.
 	lastAnswers = 150 * time.Millisecond
 	leaveLook   = 20 * time.Millisecond
+	longestEnd  = 30 * time.Second // of a process that nobody kills
 	// listWait is how long a process that has a console waits for a list that is no old one before it takes clients.
 	listWait = 1500 * time.Millisecond
 )
@@ -67,7 +68,7 @@
 	return l.(*net.TCPListener), nil
 }
 
-func serve(ctx context.Context, cfg *Config, reloads <-chan Reload, open func() (*net.TCPListener, error), log *slog.Logger) error {
+func serve(ctx context.Context, cfg *Config, reloads <-chan Reload, listening func() (*net.TCPListener, error), log *slog.Logger) error {
 	own := limitsOf(cfg, 1)
 	pool := newPool(&cfg.Settings, own.backends)
 	l, err := newLoop(&cfg.Settings, cfg.Seed, pool, log)
@@ -83,10 +84,10 @@
 	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	d.startFrom(cfg.known)
 	l.follow = d.asked
-	clients := &admission{figures: &pool.counts, most: own.clients}
+	clients := &admission{figures: &pool.counts, most: own.clients, busy: own.busy}
 	handler := &server{
-		loop: l, figures: &pool.counts, clients: clients, most: int64(own.clients - own.clients/8),
-		drain: &drain{clients: clients, ended: work.Done()}, hurry: make(chan struct{}), buffers: newBuffers(own.streams),
+		loop: l, figures: &pool.counts, clients: clients, most: int64(own.busy - own.busy/8),
+		drain: &drain{clients: clients, ended: work.Done(), log: log}, hurry: make(chan struct{}), buffers: newBuffers(own.streams),
 	}
 	var beside *link
 	if cfg.Console != "" {
@@ -110,7 +111,7 @@
 	if beside != nil {
 		l.awaitList(ctx)
 	}
-	if clients.TCPListener, err = open(); err != nil {
+	if clients.TCPListener, err = listening(); err != nil {
 		return err
 	}
 	srv := &http.Server{
@@ -140,11 +141,12 @@
 	last := min(longest, killDeadline) + killAfter - lastAnswers
 	hurry := time.AfterFunc(last, func() { close(handler.hurry) })
 	defer hurry.Stop()
-	// Once all that is left has been answered as failed, some of the time is left for the answers to go out.
-	end, cancel := context.WithDeadline(work, begun.Add(last+lastAnswers/2))
+	// Then only long answers are left, and they are the platform's to cut off.
+	end, cancel := context.WithDeadline(work, begun.Add(longestEnd))
 	defer cancel()
-	handler.drain.leave()
-	log.Info("leaving", "open", clients.count())
+	handler.drain.leave(last)
+	open, silent := clients.count()
+	log.Info("leaving", "still_open", open, "without_request", silent)
 	for time.Since(begun) < leaveAfter && !beside.leave() {
 		select {
 		case err := <-failed:
--- a/internal/agent/console_test.go
+++ b/internal/agent/console_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -183,20 +184,110 @@
 		{"on and off", func(d *drain) { d.on(); d.off() }, nil},
 		{"off without on", func(d *drain) { d.off() }, nil},
 		{"on, on, off", func(d *drain) { d.on(); d.on(); d.off() }, nil},
-		{"leaving", (*drain).leave, errLeaving},
-		{"leaving during a drain", func(d *drain) { d.on(); d.leave() }, errLeaving},
-		{"on while leaving", func(d *drain) { d.leave(); d.on() }, errLeaving},
+		{"leaving", func(d *drain) { d.leave(time.Second) }, errLeaving},
+		{"leaving during a drain", func(d *drain) { d.on(); d.leave(time.Second) }, errLeaving},
+		{"on while leaving", func(d *drain) { d.leave(time.Second); d.on() }, errLeaving},
 		{"off while leaving", func(d *drain) {
 			d.on()
-			d.leave()
+			d.leave(time.Second)
 			if d.off() == nil {
 				t.Error("off while leaving is granted")
 			}
 		}, errLeaving},
 	} {
-		d := &drain{clients: &admission{figures: &figures{}}, ended: t.Context().Done()}
+		d := &drain{clients: &admission{figures: &figures{}}, ended: t.Context().Done(), log: discard}
 		if c.do(d); d.away() != c.want {
 			t.Errorf("%s: %v, want %v", c.name, d.away(), c.want)
 		}
 	}
 }
+
+// A client that was slow to send while clients are sent away is gone 4 s after the operators' word: what it had sent by
+// then is answered, and one that never ends is closed.
+func TestDrainEndsSlowClients(t *testing.T) {
+	goOn := make(chan struct{})
+	defer close(goOn)
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a, console := withConsole(t, b)
+	head := "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\nX-Budget: 15000m\r\nContent-Length: 0\r\n\r\n"
+	slowly := func(id string, begins, ends time.Duration) (answer string, took time.Duration) {
+		begun := time.Now()
+		time.Sleep(begins)
+		c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		c.SetDeadline(begun.Add(wait))
+		text := fmt.Sprintf(head, id)
+		io.WriteString(c, text[:30])
+		time.Sleep(ends - begins)
+		io.WriteString(c, text[30:])
+		got, _ := io.ReadAll(c)
+		return string(got), time.Since(begun)
+	}
+	if got := operator(t, console, "drain-on\n"); got != "ok\n" {
+		t.Fatalf("drain-on: %q", got)
+	}
+	var all sync.WaitGroup
+	for id, ends := range map[string]time.Duration{"ends": 3 * time.Second, "endless": 10 * time.Second} {
+		all.Go(func() {
+			answer, took := slowly(id, time.Second, min(ends, 4*time.Second))
+			if want := id == "ends"; want != strings.HasPrefix(answer, "HTTP/1.1 502 ") || want && took > 4*time.Second {
+				t.Errorf("%s: answered %.40q after %v", id, answer, took)
+			}
+		})
+	}
+	all.Wait()
+	if n := len(b.got); n != 1 {
+		t.Errorf("%d requests went on", n)
+	}
+}
+
+// How long a request may last depends on when it was taken beside the operators' word or SIGTERM.
+func TestLate(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
+	for _, c := range []struct {
+		name    string
+		d       *drain
+		bounded bool
+		most    time.Duration
+	}{
+		{"as ever", &drain{}, false, 0},
+		{"just sent away", &drain{asked: ago(time.Second)}, false, 0},
+		{"slow to send", &drain{asked: ago(3 * time.Second)}, true, 800 * time.Millisecond},
+		{"long sent away", &drain{asked: ago(time.Minute)}, false, 0},
+		{"told to stop", &drain{leaving: ago(100 * time.Millisecond), killed: 3 * time.Second}, false, 0},
+		{"past what is forgiven", &drain{leaving: ago(time.Second), killed: 3 * time.Second}, true, 2 * time.Second},
+	} {
+		if left, bounded := c.d.late(); bounded != c.bounded || bounded && (left > c.most || left < c.most-time.Second) {
+			t.Errorf("%s: %v, bounded %v", c.name, left, bounded)
+		}
+	}
+}
+
+// Of the clients without a request those that are sending one make room last.
+func TestSlowSendersMakeRoomLast(t *testing.T) {
+	a := &admission{figures: &figures{}, most: 2, busy: 3}
+	conn := func(reading bool) *clientConn {
+		c := &clientConn{TCPConn: &net.TCPConn{}}
+		c.reading.Store(reading)
+		return c
+	}
+	sending, silent := conn(true), conn(false)
+	a.admit(sending)
+	a.admit(silent)
+	if third := conn(true); !a.admit(third) || sending.closed || !silent.closed {
+		t.Errorf("sending closed: %v, silent closed: %v", sending.closed, silent.closed)
+	}
+	if !a.admit(conn(true)) || sending.closed || a.open != 3 {
+		t.Errorf("with room for one more that is busy: sending closed: %v, %d open", sending.closed, a.open)
+	}
+	if !a.admit(conn(true)) || !sending.closed || a.open != 3 {
+		t.Errorf("with no room: sending closed: %v, %d open", sending.closed, a.open)
+	}
+}
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -10,6 +11,12 @@
 	// idleGrace is how long the terms let a connection be without a request before the agent may close it.
 	idleGrace = 2 * time.Second
 	idleLook  = 50 * time.Millisecond
+	// lateBy is how long after drain-on a client that was slow to send may still be served. Operators take a connection
+	// that still brings requests 4 s after it for one that was never sent away.
+	lateBy = 3800 * time.Millisecond
+	// forgiven is how long after SIGTERM the platform forgives a request that is open when it kills the process: 0.7 s,
+	// less what a request may take to come here.
+	forgiven = 600 * time.Millisecond
 )
 
 var (
@@ -22,11 +29,13 @@
 type drain struct {
 	clients *admission
 	ended   <-chan struct{} // closed when the agent has ended
+	log     *slog.Logger
 
 	mu       sync.Mutex
-	asked    bool // by the operators
-	leaving  bool // SIGTERM has come
-	emptying bool // a goroutine closes idle connections
+	asked    time.Time     // by the operators, the zero time if they did not
+	leaving  time.Time     // SIGTERM has come then
+	killed   time.Duration // after that
+	emptying bool          // a goroutine closes idle connections
 }
 
 // away says that clients are sent away, and why.
@@ -34,9 +43,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case d.leaving:
+	case !d.leaving.IsZero():
 		return errLeaving
-	case d.asked:
+	case !d.asked.IsZero():
 		return errDraining
 	}
 	return nil
@@ -46,7 +55,9 @@
 func (d *drain) on() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.asked = true
+	if d.asked.IsZero() {
+		d.asked = time.Now()
+	}
 	d.empty()
 }
 
@@ -54,18 +65,18 @@
 func (d *drain) off() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.asked = false
-	if d.leaving {
+	d.asked = time.Time{}
+	if !d.leaving.IsZero() {
 		return errLeaving
 	}
 	return nil
 }
 
-// leave sends clients away for good.
-func (d *drain) leave() {
+// leave sends clients away for good; the process is as good as killed after so long.
+func (d *drain) leave(killed time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leaving = true
+	d.leaving, d.killed = time.Now(), killed
 }
 
 // emptyIdle closes idle connections from now on, as a drain on the operators' word does: another process follows.
@@ -84,8 +95,22 @@
 	go func() {
 		look := time.NewTicker(idleLook)
 		defer look.Stop()
-		for d.stays() {
-			d.clients.closeIdle(idleGrace)
+		var told time.Time
+		for {
+			since, stays := d.since()
+			if !stays {
+				return
+			}
+			d.clients.closeIdle(time.Now().Add(-idleGrace), false)
+			if !since.IsZero() && time.Since(since) > lateBy {
+				// Who came until then and is still sending a request never ends.
+				d.clients.closeIdle(since.Add(lateBy), true)
+				if since != told {
+					open, silent := d.clients.count()
+					d.log.Info("clients are sent away", "for", lateBy, "still_open", open, "without_request", silent)
+					told = since
+				}
+			}
 			select {
 			case <-look.C:
 			case <-d.ended:
@@ -95,10 +120,32 @@
 	}()
 }
 
-// stays says whether idle connections are still to be closed.
-func (d *drain) stays() bool {
+// since is when the operators' drain began, if there is one, and whether idle connections are still to be closed.
+func (d *drain) since() (asked time.Time, stays bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.emptying = !d.asked.IsZero() || !d.leaving.IsZero()
+	return d.asked, d.emptying
+}
+
+// late returns how long a request that is taken now may last, and whether that is bounded: on the operators' word by the
+// time that idle connections were closed, when only clients that are slow to send bring any; after SIGTERM by what the
+// platform still forgives if it kills the process under it.
+func (d *drain) late() (left time.Duration, bounded bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.emptying = d.asked || d.leaving
-	return d.emptying
+	switch {
+	case !d.leaving.IsZero():
+		return d.killed - time.Since(d.leaving), time.Since(d.leaving) > forgiven
+	case !d.asked.IsZero():
+		passed := time.Since(d.asked)
+		return lateBy - passed, passed > idleGrace-idleLook && passed < lateBy
+	}
+	return 0, false
+}
+
+// ends says whether what is taken now may not last.
+func (d *drain) ends() bool {
+	_, bounded := d.late()
+	return bounded
 }
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -6,6 +6,8 @@
 	// reservedSockets is for the descriptors that are neither clients' nor backends': the standard streams, the
 	// listeners, the runtime's poller, discovery, the console, the link, and connections that are just being closed.
 	reservedSockets = 32
+	// spareClients are for those who connect beside the application.
+	spareClients = 8
 	// streamShare is the part of the memory that streams may hold.
 	streamShare = 16
 	// collectorShare of the memory is the collector's; the rest is for what it does not count, stacks of the kernel's
@@ -16,7 +18,8 @@
 // limits are what one of so many processes of an agent may hold of what the platform grants them together.
 type limits struct {
 	backends  int   // connections
-	clients   int   // connections
+	clients   int   // connections, of which one without a request goes for each further one,
+	busy      int   // and so many where all have a request
 	streams   int64 // bytes that they hold; it stays as it was at the start
 	collector int64 // bytes
 }
@@ -29,6 +32,7 @@
 	return limits{
 		backends:  max(1, (cfg.Sockets/processes-reservedSockets)/2),
 		clients:   min((cfg.Sockets-reservedSockets)/2, cfg.Sockets*3/10),
+		busy:      min((cfg.Sockets-reservedSockets)/2, cfg.Sockets/3+spareClients),
 		streams:   memory / streamShare,
 		collector: int64(collectorShare * float64(memory)),
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -59,7 +59,8 @@
 	drain *drain        // while clients are sent away, connections are closed after their answers
 	hurry chan struct{} // closed when what is open is to be answered as failed: the process is about to be killed
 
-	listening atomic.Bool // for clients
+	held      atomic.Int64 // requests
+	listening atomic.Bool  // for clients
 }
 
 // badRequest is what a client did wrong, and the status that tells it so.
@@ -101,36 +102,44 @@
 	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
 		panic(http.ErrAbortHandler)
 	}
-	if c.message.long != nil {
-		if !c.message.long.admit(s.buffers) {
+	if u := c.message.long; u != nil {
+		u.ended = func() { s.figures.active.Add(1) }
+		defer s.endUpload(w, u)
+		if !u.admit(s.buffers) {
 			s.figures.count(func(t *tally) { t.turnedAway++ })
-			s.answer(w, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
+			s.answer(w, r, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
 			return
 		}
-		defer func() {
-			c.message.long.stop(http.NewResponseController(w))
-			if c.message.long.claim() { // no attempt has
-				c.message.long.release()
-			}
-		}()
-	}
-	defer s.figures.active.Add(-1)
-	if s.figures.active.Add(1) > s.most {
+	} else {
+		s.figures.active.Add(1)
+		defer s.figures.active.Add(-1)
+	}
+	defer s.held.Add(-1)
+	if s.held.Add(1) > s.most {
 		s.figures.count(func(t *tally) { t.turnedAway++ })
-		s.answer(w, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
+		s.answer(w, r, c, answer{status: statusRefused, retryAfter: s.fullAdvice()})
 		return
 	}
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	var late <-chan time.Time
+	if left, bounded := s.drain.late(); bounded {
+		late = time.After(left)
+	}
 	select {
 	case a := <-c.answered:
-		if a.rest != nil {
+		switch {
+		case a.rest == nil:
+			s.answer(w, r, c, a)
+		case late != nil || c.message.long != nil && s.drain.ends(): // nobody knows how long it would flow, and it cannot be taken back
+			a.rest.end(errNotTaken)
+			s.answer(w, r, c, answer{status: statusFailed})
+		default:
 			s.passOn(w, r, c, a)
-			return
 		}
-		s.answer(w, c, a)
+	case <-late:
+		s.giveUp(w, r, c)
 	case <-s.hurry:
-		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
-		s.answer(w, c, answer{status: statusFailed})
+		s.giveUp(w, r, c)
 	case <-r.Context().Done():
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
 		// Danger: a handler that returns without a word answers 200, and a client that has closed only its own
@@ -139,6 +148,23 @@
 	}
 }
 
+// endUpload ends all use of a long body, whose request has ended.
+func (s *server) endUpload(w http.ResponseWriter, u *upload) {
+	u.stop(http.NewResponseController(w))
+	if u.done.Load() {
+		s.figures.active.Add(-1)
+	}
+	if u.part != nil && u.claim() { // no attempt has
+		u.release()
+	}
+}
+
+// giveUp answers a request as failed whose answer can be waited for no longer.
+func (s *server) giveUp(w http.ResponseWriter, r *http.Request, c *call) {
+	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
+	s.answer(w, r, c, answer{status: statusFailed})
+}
+
 // takesClients says why clients cannot be served, if they can not.
 func (s *server) takesClients() error {
 	if err := s.drain.away(); err != nil {
@@ -174,11 +200,12 @@
 }
 
 // answer gives a request that was taken its answer and counts it.
-func (s *server) answer(w http.ResponseWriter, c *call, a answer) {
+func (s *server) answer(w http.ResponseWriter, r *http.Request, c *call, a answer) {
 	s.figures.answered(c.kind, resultOf(a.status))
 	s.finishBody(w, c)
 	s.respond(w, a)
 	if u := c.message.long; u != nil && !u.done.Load() && http.NewResponseController(w).Flush() == nil {
+		s.clients.answered(connOf(r))
 		u.discard()
 	}
 }
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -116,7 +116,8 @@
 	buffers buffers
 	part    []byte // what it holds at once; whoever has claimed the body gives it back
 
-	done atomic.Bool // it was read to its end
+	ended func()      // told when it was read to its end, from which on the request is taken
+	done  atomic.Bool // it was
 
 	mu   sync.Mutex
 	rest *paced // nil once the request has ended
@@ -151,8 +152,8 @@
 		return 0, errStopped
 	}
 	n, err := u.rest.Read(b)
-	if err == io.EOF {
-		u.done.Store(true)
+	if err == io.EOF && !u.done.Swap(true) {
+		u.ended()
 	}
 	return n, err
 }
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -270,7 +270,7 @@
 		cfg := config(t, "127.0.0.1:1", testSettings)
 		p := newPool(&cfg.Settings, 4)
 		store := newBuffers(2 * streamPart)
-		u := &upload{length: 100_000, budget: wait, rest: &paced{body: bytes.NewReader(pattern(100_000)), rc: http.NewResponseController(httptest.NewRecorder())}}
+		u := &upload{length: 100_000, budget: wait, ended: func() {}, rest: &paced{body: bytes.NewReader(pattern(100_000)), rc: http.NewResponseController(httptest.NewRecorder())}}
 		if !u.admit(store) || len(store) != 1 {
 			t.Fatal("no buffer")
 		}
