Hold the beginning of a long answer for 50 ms, and take impossible lengths for broken

Answers that say 3 GB were begun at once and could not be taken back (backend.go, read); they were broken answers before, and are again. What breaks off within 50 ms of a long answer is a failed attempt now. Ruled out: bodies ended by a close that nobody announced.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -231,10 +232,10 @@
 			return nil, nil, nil, err
 		}
 	}
-	c.limit.N = math.MaxInt64
-	if resp.ContentLength > maxBody {
-		return resp, nil, resp.Body, nil
+	if resp.ContentLength > maxStream { // which no server gives
+		return nil, nil, nil, fmt.Errorf("an answer of %d bytes", resp.ContentLength)
 	}
+	c.limit.N = math.MaxInt64
 	body, ended, err := c.readBody(resp)
 	if err != nil || ended {
 		return resp, body, nil, err
@@ -242,12 +243,18 @@
 	return resp, body, resp.Body, nil
 }
 
-// readBody reads a body that may be short, and says whether it has come to its end. Danger: an answer that says that it
-// is longer than it is ends on no connection that stays open.
+// readBody reads a body to its end if it is short, and else its beginning: as much as can be held, or has come within
+// wholeTime. Danger: an answer that says that it is longer than it is ends on no connection that stays open; and of one
+// that breaks off, what has been passed on cannot be taken back.
 func (c *conn) readBody(resp *http.Response) (body []byte, ended bool, err error) {
-	known := resp.ContentLength >= 0
-	body = make([]byte, 0, max(0, resp.ContentLength)+1)
+	short := resp.ContentLength >= 0 && resp.ContentLength <= maxBody
+	if short {
+		body = make([]byte, 0, resp.ContentLength+1)
+	}
 	for begun := time.Now(); ; {
+		if !short && !c.comes(begun.Add(wholeTime)) {
+			return body, false, nil
+		}
 		if err := c.SetReadDeadline(time.Now().Add(answerPause)); err != nil {
 			return nil, false, err
 		}
@@ -261,12 +268,21 @@
 			return body, true, c.SetReadDeadline(time.Time{})
 		case err != nil:
 			return nil, false, err
-		case !known && (len(body) > maxBody || time.Since(begun) > wholeTime):
+		case !short && len(body) > maxBody:
 			return body, false, nil
 		}
 	}
 }
 
+// comes says whether more of an answer comes until then. It leaves the body's reader alone, which a deadline would end.
+func (c *conn) comes(until time.Time) bool {
+	if c.SetReadDeadline(until) != nil {
+		return true // and reading tells why
+	}
+	_, err := c.br.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // probe asks a backend how it does: for its load where probes bring reports, else whether it is alive.
 func (p *pool) probe(ctx context.Context, t *target, s *settings.Settings) result {
 	path, reports := alivePath, s.Module.Reports != grebefork.ReportsOff
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -30,6 +30,7 @@
 		{"broken answer", "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\nhalf", true, true},
 		{"shorter than it says, the connection open", "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\nhalf", false, true},
 		{"half a head, the connection open", "HTTP/1.1 200 OK\r\nContent-", false, true},
+		{"said to be oversized", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhalf", false, true},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nhalf", false, true},
 		{"bad chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf", false, true},
 		{"another protocol", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + okText, false, true},
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	maxStream  = 40 << 20 // bytes of a body; clients send up to 32 MB
+	maxStream  = 40 << 20 // bytes of a body or an answer; those of the service have up to 32 MB
 	streamPart = 32 << 10 // bytes that a stream holds at once
 	// bodyRate is how many bytes a second of a body have to come, a little under the 64 kB that clients may take them
 	// at, after bodyGrace or, if that is later, requestTime from when the request began: a peer that stalls is answered
@@ -27,7 +27,8 @@
 	// server may take for what a stream holds.
 	answerGap = 3 * time.Second
 	takeGap   = 10 * time.Second
-	// wholeTime is how long an answer that does not say its length is held back in the hope that it is short.
+	// wholeTime is how long the beginning of an answer that is long, or does not say its length, is held back: it may be
+	// short after all, or break off.
 	wholeTime = 50 * time.Millisecond
 )
 
