Keep the collector to its part of the memory without a console, too

Found in review: the limit had moved from main.go to pool.share, which was called with a console only. The end of serve is a function of its own now, as it stood.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,6 +89,7 @@
 		loop: l, figures: &pool.counts, clients: clients, most: int64(own.busy - own.busy/8),
 		drain: &drain{clients: clients, ended: work.Done(), log: log}, hurry: make(chan struct{}), buffers: newBuffers(own.streams),
 	}
+	pool.share(cfg, 1)
 	var beside *link
 	if cfg.Console != "" {
 		c, err := listenConsole(ctx, cfg.Console, handler.calls())
@@ -98,7 +99,6 @@
 		defer c.close()
 		go c.serve()
 		l.shown = true
-		pool.share(cfg, 1)
 		beside = joinLink(linkPath(cfg.Name), func(processes int) { pool.share(cfg, processes) }, log)
 		defer beside.close()
 	}
@@ -133,19 +133,25 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
+	return handler.leave(work, srv, beside, failed, log)
+}
+
+// leave sends clients away and returns when all that was taken is answered, or the platform is about to kill the process.
+// What serves reports its end on failed.
+func (s *server) leave(work context.Context, srv *http.Server, beside *link, failed <-chan error, log *slog.Logger) error {
 	begun := time.Now()
 	longest := time.Duration(0)
-	for _, c := range l.set.Load().Module.Classes {
+	for _, c := range s.loop.set.Load().Module.Classes {
 		longest = max(longest, c.Deadline)
 	}
 	last := min(longest, killDeadline) + killAfter - lastAnswers
-	hurry := time.AfterFunc(last, func() { close(handler.hurry) })
+	hurry := time.AfterFunc(last, func() { close(s.hurry) })
 	defer hurry.Stop()
 	// Then only long answers are left, and they are the platform's to cut off.
 	end, cancel := context.WithDeadline(work, begun.Add(longestEnd))
 	defer cancel()
-	handler.drain.leave(last)
-	open, silent := clients.count()
+	s.drain.leave(last)
+	open, silent := s.clients.count()
 	log.Info("leaving", "still_open", open, "without_request", silent)
 	for time.Since(begun) < leaveAfter && !beside.leave() {
 		select {
@@ -156,10 +162,10 @@
 	}
 	if beside.leave() {
 		log.Info("another process takes the clients")
-		handler.drain.emptyIdle()
-		clients.finish()
+		s.drain.emptyIdle()
+		s.clients.finish()
 		<-failed // at the end of the queue
-		clients.emptied(end)
+		s.clients.emptied(end)
 		return nil
 	}
 	// A connection that was opened and never used would keep Shutdown from returning.
