--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -105,6 +106,8 @@
 			<-goOn
 			w.Write(body[2000:])
 		})
+		release := sync.OnceFunc(func() { close(goOn) })
+		t.Cleanup(release) // or a failure would leave the server waiting, and its end with it
 		resp, err := a.client.Do(a.request("safe", "15000m"))
 		if err != nil {
 			t.Fatal(err)
@@ -114,7 +117,7 @@
 		if _, err := io.ReadFull(resp.Body, first); err != nil {
 			t.Fatal(err)
 		}
-		close(goOn)
+		release()
 		if rest, err := io.ReadAll(resp.Body); err != nil || string(first)+string(rest) != string(body) {
 			t.Errorf("length %q: %d bytes more, error %v", length, len(rest), err)
 		}
