Log the calls of discovery: how many, how many failed, how long a lost watch had run

Of a watch that ended the log did not tell when it had begun, and nothing told how many calls an agent makes; both are needed to compare what it has missed with the moment from which that counts as told. Calls of the fleet in five seconds are the sum of discovery.calls over the agents' counters lines.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,7 +81,7 @@
 	tell := func(mode grebefork.ListMode, members []member) {
 		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
 	}
-	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
+	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, &pool.counts, log)
 	d.startFrom(cfg.known)
 	l.follow = d.asked
 	clients := &admission{figures: &pool.counts, most: own.clients, busy: own.busy}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -91,10 +91,12 @@
 	ask    bool          // only when the module asks, and it hears of failures
 	follow chan struct{} // the module asks; holds one
 	tell   func(grebefork.ListMode, []member)
+	counts *figures
 	client http.Client
 	log    *slog.Logger
 
 	started  time.Time
+	asking   time.Time // when the last call began
 	revision *uint64 // of the list held; nil when the whole list is wanted
 }
 
@@ -107,9 +109,9 @@
 	}
 }
 
-func newDiscovery(addr string, ask bool, tell func(grebefork.ListMode, []member), log *slog.Logger) *discovery {
+func newDiscovery(addr string, ask bool, tell func(grebefork.ListMode, []member), counts *figures, log *slog.Logger) *discovery {
 	return &discovery{
-		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, log: log,
+		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, counts: counts, log: log,
 		started: time.Now(),
 		client: http.Client{
 			Transport: &http.Transport{
@@ -163,7 +165,7 @@
 			failures = 0
 		}
 		if failures++; failures == 1 {
-			d.log.Warn("discovery failed", "error", err)
+			d.log.Warn("discovery failed", "error", err, "watched", time.Since(d.asking))
 		}
 		if errors.Is(err, errBadList) {
 			d.revision = nil
@@ -195,7 +197,14 @@
 	}
 	for {
 		began := time.Now()
+		d.asking = began
 		l, err := d.get(ctx, wait)
+		d.counts.count(func(t *tally) {
+			if t.listCalls++; err != nil {
+				t.listFails++
+			}
+			t.slowestList = max(t.slowestList, time.Since(began)-wait)
+		})
 		if err == nil {
 			err = ctx.Err() // an answer that crossed a reload is another service's
 		}
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -238,7 +238,7 @@
 		{true, nil, 4 * time.Second}, {false, nil, 4 * time.Second},
 		{true, &revision, askWatch + 2*time.Second}, {false, &revision, pushWatch + 2*time.Second},
 	} {
-		d := newDiscovery("127.0.0.1:1", c.ask, nil, discard)
+		d := newDiscovery("127.0.0.1:1", c.ask, nil, new(figures), discard)
 		d.revision = c.revision
 		d.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
 			if due, ok := r.Context().Deadline(); !ok || time.Until(due) > c.most {
--- a/internal/agent/figures.go
+++ b/internal/agent/figures.go
@@ -75,6 +75,8 @@
 	badRequests          int                          // turned down before they were taken
 	lastBad              string                       // why the last of them was
 	halfHeads            int                          // connections that ended within a request's head
+	listCalls, listFails int                          // calls of discovery
+	slowestList          time.Duration                // longest that a call took beyond what it may wait
 	slowestLoop          time.Duration                // longest that one input kept the loop
 }
 
@@ -149,6 +151,7 @@
 		"last_break", t.lastBreak,
 		slog.Group("bad", "requests", t.badRequests, "last", t.lastBad, "half_heads", t.halfHeads), "probes", t.probes, "probes_failed", t.probesFailed, "reports", t.reports,
 		"slowest_loop", t.slowestLoop,
+		slog.Group("discovery", "calls", t.listCalls, "failed", t.listFails, "slowest", t.slowestList),
 		slog.Group("servers", "ready", ready, "draining", draining))
 }
 
