--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -97,7 +97,7 @@
 
 	started  time.Time
 	asking   time.Time // when the last call began
-	revision *uint64 // of the list held; nil when the whole list is wanted
+	revision *uint64   // of the list held; nil when the whole list is wanted
 }
 
 // startFrom makes the list that the agent held before its start the one that changes follow. Danger: discovery works
