--- a/balancer.go
+++ b/balancer.go
@@ -83,12 +83,13 @@
 		}
 	}
 	b.ring = slices.DeleteFunc(b.ring, func(s *server) bool {
-		gone := s.State == Gone && s.inFlight == 0
-		if gone {
-			delete(b.servers, s.ID)
+		if s.State != Gone || s.inFlight > 0 {
+			return false
 		}
-		return gone
+		delete(b.servers, s.ID)
+		return true
 	})
+	b.sortRing()
 }
 
 // --- Speed ---
@@ -332,14 +333,9 @@
 // crowded says that a request would be late behind what the server holds, or help to jam it. Who had room is
 // not crowded: where nobody sends, old figures stay for good.
 func (b *Balancer) crowded(r *request, s *server) bool {
-	held := b.held(s)
-	switch {
-	case b.now < s.full: // it had no room
-		return true
-	case !s.load.Known || held < 1:
-		return false
-	}
-	return s.tellsQueue() && held >= 1+2*b.crowd || (held+1)*b.each(s) > (r.aim-b.now).Seconds()
+	held, hadNoRoom := b.held(s), b.now < s.full
+	jams, late := s.tellsQueue() && held >= 1+2*b.crowd, (held+1)*b.each(s) > (r.aim-b.now).Seconds()
+	return hadNoRoom || s.load.Known && held >= 1 && (jams || late)
 }
 
 // place sends the request to a server, or says that there is no room.
@@ -476,15 +472,12 @@
 
 // remembered is how long the servers go on to drop a repeat of the request, 0 if they need not. Danger: a
 // connection takes time to come up, and a repeat sent when it is up may be too late.
-func (r *request) remembered(now time.Duration) (within time.Duration) {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.ran && r.class.Effect == Token {
-			if left := a.sent + r.class.Window - now; within == 0 || left < within {
-				within = left
-			}
-		}
+func (r *request) remembered(now time.Duration) time.Duration {
+	first := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.ran })
+	if first < 0 || r.class.Effect != Token {
+		return 0
 	}
-	return within
+	return r.attempts[first].sent + r.class.Window - now
 }
 
 // withinBudget says whether one more attempt beyond a request's first keeps the retry budget, a window that
@@ -634,14 +627,11 @@
 // advice is when a refused client may come again: when the servers have answered what they hold, later the
 // more is shed. Danger: clients left to themselves come again at once and keep the overload up.
 func (b *Balancer) advice(c *class) time.Duration {
-	wait := seconds(c.usual.v * (1 + b.pressure))
-	switch most := b.set.MaxRetryAfter; {
-	case !b.set.RetryAfter:
+	if !b.set.RetryAfter {
 		return 0
-	case most > 0:
-		return min(wait, most)
 	}
-	return wait
+	wait := seconds(c.usual.v * (1 + b.pressure))
+	return min(wait, cmp.Or(b.set.MaxRetryAfter, wait))
 }
 
 // end is the only place where a request ends: by the answer of ours that promises most, or as it has one or
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -737,7 +737,6 @@
 		"Classes[3].Effect":   func(s *Settings) { s.Classes[3].Effect = SideEffect + 1 },
 		"Classes[3].Scope":    func(s *Settings) { s.Classes[3].Scope = ScopeCell + 1 },
 		"Classes[1].Window":   func(s *Settings) { s.Classes[1].Window = -1 },
-		"IdleClose":           func(s *Settings) { s.IdleClose = -1 },
 		"ExtraWindow":         func(s *Settings) { s.ExtraWindow = -1 },
 		"ExtraFloor":          func(s *Settings) { s.ExtraFloor = math.NaN() },
 		"ExtraRatio":          func(s *Settings) { s.ExtraRatio = -0.1 },
@@ -759,7 +758,7 @@
 			continue
 		}
 		acts := x.on(Event{Kind: kind, Request: 99, Server: 99, Attempt: 200, Token: math.MaxUint64,
-			Class: -1, Latency: -ms})
+			Class: -1})
 		if len(acts) != 0 {
 			t.Errorf("event kind %d: %+v", kind, acts)
 		}
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -127,7 +127,7 @@
 		r.ended = true
 	}
 	c.on(Event{Kind: EventOutcome, Request: a.Request, Attempt: a.Attempt, Server: a.Server, Outcome: how,
-		Latency: c.now - s.at, Closed: r.ended, Load: Load{Known: true, InFlight: float64(i % 9), Queue: float64(i % 5)}})
+		Closed: r.ended, Load: Load{Known: true, InFlight: float64(i % 9), Queue: float64(i % 5)}})
 }
 
 // pass lets time go by; what is due happens on the way.
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -66,7 +66,6 @@
 // result is how an attempt or a probe ended.
 type result struct {
 	outcome grebefork.Outcome
-	latency time.Duration
 	load    grebefork.Load
 	answer  answer // a whole one, if the outcome is OK
 }
@@ -83,10 +82,8 @@
 
 // exchange sends a message once and waits for its answer until the context ends, of which the cause tells why.
 func (p *pool) exchange(ctx context.Context, t *target, m *message, on *terms) result {
-	start := time.Now()
 	r := result{load: settings.NoLoad()}
 	resp, body, written, err := p.roundTrip(ctx, t, m, on)
-	r.latency = time.Since(start)
 	switch cause := context.Cause(ctx); {
 	case err == nil:
 		r.load = parseLoad(resp.Header.Get(loadHeader), on.fields)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -201,6 +201,9 @@
 	if s.ConnectTimeout <= 0 {
 		return errors.New("settings: limits.connectTimeout must be above 0")
 	}
+	if s.IdleClose < 0 {
+		return errors.New("settings: limits.idleClose must not be below 0")
+	}
 	for what, names := range map[string][]string{"categories": s.Classes, "accounts": s.Tenants} {
 		for i, name := range names {
 			if name == "" || slices.Contains(names[:i], name) {
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -33,6 +33,7 @@
 		{"limits.sockets", `:1024`, `:10`},
 		{"known", `"revision":1,`, ``},
 		{"limits.connectTimeout", `"connectTimeout":2000`, `"connectTimeout":0`},
+		{"limits.idleClose", `"idleClose":30000`, `"idleClose":-1`},
 		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":0`},
 		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
 		{"report.how", `"off"`, `"odd"`},
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -461,7 +461,7 @@
 		on.timer.Stop()
 		l.send(input{answer: res.answer, event: grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
-			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+			Outcome: res.outcome, Load: res.load,
 		}})
 	}()
 }
@@ -479,7 +479,7 @@
 		res := l.pool.probe(ctx, t, set)
 		l.send(input{event: grebefork.Event{
 			Kind: grebefork.EventProbed, Server: server,
-			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+			Outcome: res.outcome, Load: res.load,
 		}})
 	}()
 }
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -93,7 +93,7 @@
 // adopt takes the settings that concern connections.
 func (p *pool) adopt(s *settings.Settings) {
 	p.mu.Lock()
-	p.connectTimeout, p.idleClose = s.ConnectTimeout, s.Module.IdleClose
+	p.connectTimeout, p.idleClose = s.ConnectTimeout, s.IdleClose
 	p.mu.Unlock()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,7 @@
 	Zones, Kinds   []string
 	ReportFields   []string      // names of the values in a load report
 	ConnectTimeout time.Duration // a connection that is not up by then has failed
+	IdleClose      time.Duration // a connection that is idle for so long is closed; 0: never
 }
 
 // Parse reads the settings text.
@@ -78,6 +79,7 @@
 		Zones: f.Localities, Kinds: f.Skus,
 		ReportFields:   f.Report.Fields,
 		ConnectTimeout: Millis(f.Limits.ConnectTimeout),
+		IdleClose:      Millis(f.Limits.IdleClose),
 	}
 	s := &all.Module
 	*s = grebefork.Settings{
@@ -85,7 +87,6 @@
 		AskList:        f.Discovery == "subscribe",
 		MustAskIn:      Millis(f.Rules.MustAskIn),
 		Tick:           Millis(f.Tick),
-		IdleClose:      Millis(f.Limits.IdleClose),
 		MaxAttempts:    int(f.Limits.MaxAttempts),
 		Probes:         f.Limits.Probes,
 		Cancel:         f.Limits.Cancel,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -191,11 +191,13 @@
 		ev.Class = int(d.u16())
 	case evBegun:
 		ev.Kind, ev.Request = grebefork.EventBegun, grebefork.RequestID(d.u32())
-		ev.Latency, ev.Attempt, ev.Server = d.time(), int(d.u8()), grebefork.ServerID(d.u32())
+		d.time()
+		ev.Attempt, ev.Server = int(d.u8()), grebefork.ServerID(d.u32())
 	case evReply:
 		ev.Kind, ev.Request = grebefork.EventOutcome, grebefork.RequestID(d.u32())
 		ev.Attempt, ev.Server, ev.Outcome = int(d.u8()), grebefork.ServerID(d.u32()), d.outcome()
-		ev.Latency, ev.Closed = d.time(), d.u8() != 0
+		d.time()
+		ev.Closed = d.u8() != 0
 		ev.Load = d.load(rec.Instance)
 	case evHangup:
 		ev.Kind, ev.Request = grebefork.EventHangup, grebefork.RequestID(d.u32())
@@ -203,7 +205,8 @@
 		ev.Kind, ev.Token = grebefork.EventTimer, d.u64()
 	case evCheck:
 		ev.Kind, ev.Server = grebefork.EventProbed, grebefork.ServerID(d.u32())
-		ev.Outcome, ev.Latency = d.outcome(), d.time()
+		ev.Outcome = d.outcome()
+		d.time()
 		ev.Load = d.load(rec.Instance)
 	case evDatagram:
 		d.u32()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -77,7 +77,7 @@
 		Effect: grebefork.Token, Scope: grebefork.ScopeCell, Window: 600 * time.Millisecond,
 		Zones: []int{1}, Kinds: []int{}}
 	if recs[0].Kind != Create || recs[0].Seed != 7 || !reflect.DeepEqual(s.Classes[0], want) || s.Rank != 2 || s.Agents != 3 ||
-		s.IdleClose != 15*time.Second || s.ExtraWindow != 5*time.Second || s.ExtraFloor != 3 || s.ExtraRatio != 0.2 || !s.AskList || s.MustAskIn != 10*time.Second || s.ColdFrom != 0.12 ||
+		s.ExtraWindow != 5*time.Second || s.ExtraFloor != 3 || s.ExtraRatio != 0.2 || !s.AskList || s.MustAskIn != 10*time.Second || s.ColdFrom != 0.12 ||
 		s.Tick != 1500*time.Microsecond || s.Tenants[0].Portion != 0.34 || s.Reports != grebefork.ReportsInline {
 		t.Errorf("settings %+v", s)
 	}
--- a/state.go
+++ b/state.go
@@ -151,7 +151,6 @@
 	queue    [2]mean   // requests that servers say wait, at far ones and at near ones
 	ahead    mean      // requests that were ahead of it, and itself
 	typical  mean      // held over speed of the pairs' shorter, as drawn
-	herd     float64   // from 0, this agent is alone, to 1, others send nearly all
 	crowd    float64   // between crowdAlone and crowd
 	late     mean      // time of an answer over its aim
 	pressure float64   // share of the usual requests to shed
@@ -186,8 +185,7 @@
 	old := b.classes
 	b.set, b.epoch, b.classes, b.worth, b.mix = s, b.epoch+1, nil, 0, nil
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
-	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
-	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
+	b.crowd = crowd + (crowdAlone-crowd)/math.Sqrt(float64(s.Agents))
 	for _, c := range s.Classes {
 		n := &class{Class: c, index: slices.Index(b.names, c.Name), usual: mean{c.Aim.Seconds() / 3, true}}
 		if i := slices.IndexFunc(old, func(o *class) bool { return o.Name == c.Name }); i >= 0 {
@@ -204,53 +202,48 @@
 	for _, s := range b.ring {
 		s.rank, s.health = b.order(s.ID), append(s.health, make([]health, len(b.names)-len(s.health))...)
 	}
-	slices.SortFunc(b.ring, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	b.sortRing()
 	return nil
 }
 
-// field is a setting under check.
-type field struct {
-	name  string
-	value any
-	wrong bool
+func (b *Balancer) sortRing() {
+	slices.SortFunc(b.ring, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
 }
 
-func (s *Settings) check() error {
-	all := []field{
-		{"Agents", s.Agents, s.Agents < 1},
-		{"Rank", s.Rank, s.Rank < 0 || s.Rank >= s.Agents},
-		{"MaxAttempts", s.MaxAttempts, s.MaxAttempts < 1},
-		{"ColdFrom", s.ColdFrom, !(s.ColdFrom > 0 && s.ColdFrom <= 1)},
-		{"WarmAfter", s.WarmAfter, s.WarmAfter < 0},
-		{"OverloadFactor", s.OverloadFactor, !(s.OverloadFactor > 0)},
-		{"IdleClose", s.IdleClose, s.IdleClose < 0},
-		{"ExtraWindow", s.ExtraWindow, s.ExtraWindow < 0},
-		{"ExtraFloor", s.ExtraFloor, !(s.ExtraFloor >= 0)},
-		{"ExtraRatio", s.ExtraRatio, !(s.ExtraRatio >= 0)},
-		{"Tick", s.Tick, s.Tick < 0},
-		{"MustAskIn", s.MustAskIn, s.AskList && s.MustAskIn <= 0},
-		{"Classes", "empty", len(s.Classes) == 0},
+// check names the first setting that cannot be right.
+func (s *Settings) check() (err error) {
+	wrong := func(name string, value any, is bool) {
+		if is && err == nil {
+			err = fmt.Errorf("setting %s cannot be %v", name, value)
+		}
 	}
+	wrong("Agents", s.Agents, s.Agents < 1)
+	wrong("Rank", s.Rank, s.Rank < 0 || s.Rank >= s.Agents)
+	wrong("MaxAttempts", s.MaxAttempts, s.MaxAttempts < 1)
+	wrong("ColdFrom", s.ColdFrom, !(s.ColdFrom > 0 && s.ColdFrom <= 1))
+	wrong("WarmAfter", s.WarmAfter, s.WarmAfter < 0)
+	wrong("OverloadFactor", s.OverloadFactor, !(s.OverloadFactor > 0))
+	wrong("ExtraWindow", s.ExtraWindow, s.ExtraWindow < 0)
+	wrong("ExtraFloor", s.ExtraFloor, !(s.ExtraFloor >= 0))
+	wrong("ExtraRatio", s.ExtraRatio, !(s.ExtraRatio >= 0))
+	wrong("Tick", s.Tick, s.Tick < 0)
+	wrong("MustAskIn", s.MustAskIn, s.AskList && s.MustAskIn <= 0)
+	wrong("Classes", "empty", len(s.Classes) == 0)
 	for i, c := range s.Classes {
 		at := fmt.Sprintf("Classes[%d].", i)
-		all = append(all, []field{
-			{at + "Aim", c.Aim, c.Aim <= 0},
-			{at + "Deadline", c.Deadline, c.Deadline < c.Aim},
-			{at + "Worth", c.Worth, !(c.Worth >= 0)},
-			{at + "Effect", c.Effect, c.Effect > SideEffect},
-			{at + "Scope", c.Scope, c.Scope > ScopeCell},
-			{at + "Window", c.Window, c.Window < 0},
-			{at + "Zones", c.Zones, slices.ContainsFunc(c.Zones, negative)},
-			{at + "Kinds", c.Kinds, slices.ContainsFunc(c.Kinds, negative)},
-		}...)
+		wrong(at+"Aim", c.Aim, c.Aim <= 0)
+		wrong(at+"Deadline", c.Deadline, c.Deadline < c.Aim)
+		wrong(at+"Worth", c.Worth, !(c.Worth >= 0))
+		wrong(at+"Effect", c.Effect, c.Effect > SideEffect)
+		wrong(at+"Scope", c.Scope, c.Scope > ScopeCell)
+		wrong(at+"Window", c.Window, c.Window < 0)
+		wrong(at+"Zones", c.Zones, slices.ContainsFunc(c.Zones, negative))
+		wrong(at+"Kinds", c.Kinds, slices.ContainsFunc(c.Kinds, negative))
 	}
 	for i, t := range s.Tenants {
-		all = append(all, field{fmt.Sprintf("Tenants[%d].Portion", i), t.Portion, !(t.Portion >= 0)})
+		wrong(fmt.Sprintf("Tenants[%d].Portion", i), t.Portion, !(t.Portion >= 0))
 	}
-	if i := slices.IndexFunc(all, func(f field) bool { return f.wrong }); i >= 0 {
-		return fmt.Errorf("setting %s cannot be %v", all[i].name, all[i].value)
-	}
-	return nil
+	return err
 }
 
 func negative(i int) bool { return i < 0 }
@@ -298,15 +291,12 @@
 	return min(i, len(s)-1)
 }
 
-// entry finds the server of a line of the list, or makes it; a server not known that is gone stays unknown.
+// entry finds the server of a line of the list, or puts it last on the ring; one not known that is gone stays so.
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.servers[e.ID]
 	if s == nil && e.State != Gone {
 		s = &server{rank: b.order(e.ID), health: make([]health, len(b.names))}
-		b.servers[e.ID] = s
-		byRank := func(o *server, rank float64) int { return cmp.Compare(o.rank, rank) }
-		i, _ := slices.BinarySearchFunc(b.ring, s.rank, byRank)
-		b.ring = slices.Insert(b.ring, i, s)
+		b.servers[e.ID], b.ring = s, append(b.ring, s)
 	}
 	return s
 }
--- a/types.go
+++ b/types.go
@@ -73,7 +73,6 @@
 	Reports        ReportMode
 	AskList        bool          // the server list must be asked for (ActFollow)
 	MustAskIn      time.Duration // the longest an agent may go without asking for the list
-	IdleClose      time.Duration // a connection that is idle for so long is closed
 	Tick           time.Duration // events arrive no more often than this
 	MaxAttempts    int
 	Probes         bool          // ActProbe is allowed
@@ -152,10 +151,10 @@
 	EventList    EventKind = iota // the server list [ListMode, Servers]
 	EventRequest                  // a request, owed one answer [Request, Class, Tenant, Left, Retry]
 	EventBegun                    // its body or answer flows and cannot be had again [Request]
-	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Latency, Closed, Load]
+	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Closed, Load]
 	EventHangup                   // the client has gone [Request]: nothing more is owed
 	EventTimer                    // an ActTimer fell due [Token]
-	EventProbed                   // a probe ended [Server, Outcome, Latency, Load]
+	EventProbed                   // a probe ended [Server, Outcome, Load]
 )
 
 // Event is one thing that happened to the agent. The Balancer keeps no slice of it after Handle returns.
@@ -169,7 +168,6 @@
 	Left     time.Duration // until the client gives this try up
 	Retry    bool          // the client marks this as a repeat
 	Outcome  Outcome
-	Latency  time.Duration
 	Closed   bool // the request has its final answer, by this outcome or before
 	Load     Load
 	Token    uint64
