Send nothing new to a server that has begun to leave since it was chosen, and count it as no attempt

To blame: pool.roundTrip and pool.dial, which knew a target's address only. A target now ends a context when the list says that its process leaves, has gone or was replaced; that ends a dial at once, and is looked at after any kind of connection, just before the first byte. It covers retries, second copies, probes and long bodies: all go through roundTrip. Nothing is sent later than that.

The module hears Leaving: never ran, nobody blamed, no attempt of maxAttempts, none of the retry budget, so that card sales too go on to another server. The loop's own look at maxAttempts has gone, as the module owns that limit and counts differently from now on.

--- a/balancer.go
+++ b/balancer.go
@@ -197,8 +197,8 @@
 	// Danger: agents x servers connections fill all tables; many teach little, few are overloaded.
 	size := max(shortestLine, agentsPerServer*len(b.ring)/b.set.Agents,
 		b.taken.since(b.now-seconds(retrySpan))/requestsEach)
-	var usual float64     // speed of all servers when they are warm
-	var on, of [2]float64 // servers on the line and open to it, far and near
+	var usual, cold float64 // speed of all servers when they are warm, and of the cold ones on the line
+	var on, of [2]float64   // servers on the line and open to it, far and near
 	for _, s := range b.ring {
 		until, near := s.health[c.index].until, b.near(s)
 		if s.State != Ready || !c.eligible(s) {
@@ -217,7 +217,6 @@
 	slices.SortStableFunc(l.servers, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(b.near(x), b.near(y)), cmp.Compare(x.base, y.base))
 	})
-	var cold float64
 	l.speeds, l.pass, l.mu = l.speeds[:0], l.pass[:0], l.mu[:0]
 	for _, s := range l.servers {
 		speed, w := b.speed(s), b.warmth(s)
@@ -462,8 +461,8 @@
 // may is the right to send: the one place that knows placement, effects, groups, windows and drains.
 func (b *Balancer) may(r *request, s *server) bool {
 	if r.ended || r.begun || b.now >= r.deadline || s.State != Ready || !r.class.eligible(s) ||
-		len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.SecondCopies ||
-		len(r.attempts) > 0 && !b.withinBudget() {
+		len(r.attempts)-r.unsent >= b.set.MaxAttempts || r.out > 0 && !b.set.SecondCopies ||
+		len(r.attempts) > r.unsent && !b.withinBudget() {
 		return false
 	}
 	for i := range r.attempts {
@@ -520,7 +519,7 @@
 		}
 	}
 	n := uint64(len(r.attempts))
-	if n > 0 {
+	if len(r.attempts) > r.unsent {
 		b.extra.add(b.now)
 	}
 	within := r.remembered(b.now)
@@ -528,10 +527,8 @@
 	r.out++
 	s.inFlight++
 	s.since++
-	wait := r.deadline - b.now
-	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, Wait: wait, Within: within})
-	token := tokenCheck | n<<32 | uint64(r.id)
-	b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
+	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, Wait: r.deadline - b.now, Within: within})
+	b.act(Action{Kind: ActTimer, Token: tokenCheck | n<<32 | uint64(r.id), Wait: r.class.patient()})
 	return true
 }
 
@@ -542,7 +539,10 @@
 	}
 	a := &r.attempts[ev.Attempt]
 	s := a.server
-	a.out, a.ran = false, ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot
+	a.out, a.ran = false, !slices.Contains([]Outcome{Full, ConnectFailed, Moot, Leaving}, ev.Outcome)
+	if ev.Outcome == Leaving {
+		r.unsent++
+	}
 	r.out--
 	s.inFlight--
 	if a.checks > 0 {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -366,6 +366,33 @@
 	}
 }
 
+// What was not sent as its server had begun to leave is no attempt: every class may go on to another server, within any
+// budget, and nobody is blamed.
+func TestUnsentIsNoAttempt(t *testing.T) {
+	s := settings()
+	s.MaxAttempts, s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = 1, time.Second, 0, 0
+	for class := range s.Classes {
+		x := start(t, s, fleet(8)...)
+		a := one(t, x.ask(1, class), ActSend)
+		for n := range 5 { // as each server leaves in turn
+			left := a.Server
+			x.on(Event{Kind: EventList, ListMode: ListDelta, Servers: []ServerEntry{{ID: left, State: Draining}}})
+			if a = one(t, x.ends(1, n, Leaving), ActSend); a.Server == left {
+				t.Fatalf("class %d: sent to the leaving server", class)
+			}
+			if health := x.b.servers[left].health[class]; health.bad > 0 || x.b.servers[left].full > 0 {
+				t.Errorf("class %d: the leaving server is blamed: %+v", class, health)
+			}
+		}
+		if class == unsafe {
+			one(t, x.ends(1, 5, Error), ActFail)
+		}
+		if len(x.b.extra) > 0 {
+			t.Errorf("class %d: %d attempts count as further ones", class, len(x.b.extra))
+		}
+	}
+}
+
 func TestAttemptsAndRetriesAreLimited(t *testing.T) {
 	s := settings()
 	s.MaxAttempts = 2
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -93,6 +93,8 @@
 		}
 	case errors.Is(cause, context.Canceled), errors.Is(err, errNotTaken):
 		r.outcome = grebefork.Cancelled
+	case errors.Is(err, errLeft):
+		r.outcome = grebefork.Leaving
 	case errors.Is(err, errTooLate), errors.Is(err, errNotSent), ownShortage(err):
 		r.outcome = grebefork.Moot // it never ran, and the backend is not to blame
 	case !written: // its last byte never went out: it cannot have run
@@ -134,6 +136,11 @@
 			p.discard(c)
 		}
 	}()
+	// Danger: the choice may be old by now, after a connection that was slow to come up.
+	if t.left.Err() != nil {
+		reusable = true
+		return nil, nil, false, errLeft
+	}
 	// Danger: backends drop a keyed repeat only for a while, and a connection that was slow to come up may outlast
 	// it. What is not sent has not run.
 	if !on.sendBy.IsZero() && !time.Now().Before(on.sendBy) {
--- a/internal/agent/figures.go
+++ b/internal/agent/figures.go
@@ -64,20 +64,20 @@
 
 // tally counts since the log's last line.
 type tally struct {
-	taken, gone          int                          // requests
-	turnedAway           int                          // of the refused: the agent held too many
-	attempts             [int(grebefork.Moot) + 1]int // by outcome
-	dialed, reused       int                          // connections that attempts and probes used
-	brokenReused         int                          // of the reused: no whole answer came
-	probes, probesFailed int                          //
-	reports              int                          // answers that told a load
-	lastBreak            string                       // why the last answer did not come whole
-	badRequests          int                          // turned down before they were taken
-	lastBad              string                       // why the last of them was
-	halfHeads            int                          // connections that ended within a request's head
-	listCalls, listFails int                          // calls of discovery
-	slowestList          time.Duration                // longest that a call took beyond what it may wait
-	slowestLoop          time.Duration                // longest that one input kept the loop
+	taken, gone          int                             // requests
+	turnedAway           int                             // of the refused: the agent held too many
+	attempts             [int(grebefork.Leaving) + 1]int // by outcome
+	dialed, reused       int                             // connections that attempts and probes used
+	brokenReused         int                             // of the reused: no whole answer came
+	probes, probesFailed int                             //
+	reports              int                             // answers that told a load
+	lastBreak            string                          // why the last answer did not come whole
+	badRequests          int                             // turned down before they were taken
+	lastBad              string                          // why the last of them was
+	halfHeads            int                             // connections that ended within a request's head
+	listCalls, listFails int                             // calls of discovery
+	slowestList          time.Duration                   // longest that a call took beyond what it may wait
+	slowestLoop          time.Duration                   // longest that one input kept the loop
 }
 
 // count changes the tally.
@@ -146,7 +146,7 @@
 		"failed", answers(resultErrors), "gone", t.gone, "tries", now.tries-last.tries,
 		slog.Group("attempts", "ok", of(grebefork.OK), "error", of(grebefork.Error), "full", of(grebefork.Full),
 			"timeout", of(grebefork.Timeout), "connect", of(grebefork.ConnectFailed), "reset", of(grebefork.Reset),
-			"cancelled", of(grebefork.Cancelled), "moot", of(grebefork.Moot)),
+			"cancelled", of(grebefork.Cancelled), "moot", of(grebefork.Moot), "leaving", of(grebefork.Leaving)),
 		slog.Group("connections", "dialed", t.dialed, "reused", t.reused, "broken_reused", t.brokenReused),
 		"last_break", t.lastBreak,
 		slog.Group("bad", "requests", t.badRequests, "last", t.lastBad, "half_heads", t.halfHeads), "probes", t.probes, "probes_failed", t.probesFailed, "reports", t.reports,
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -333,14 +333,18 @@
 		if e.State == grebefork.Gone {
 			continue // forgotten once the module has heard of it
 		}
-		old := l.targets[e.ID]
-		if old != nil && old.addr == m.HostPort && old.start == e.Start {
-			continue
+		t := l.targets[e.ID]
+		same := t != nil && t.addr == m.HostPort && t.start == e.Start
+		if !same || e.State == grebefork.Ready && t.left.Err() != nil { // one that stays after all may be sent to again
+			if t != nil {
+				l.pool.retire(t)
+			}
+			t = l.pool.target(m.HostPort, e.Start)
+			l.targets[e.ID] = t
 		}
-		if old != nil {
-			l.pool.retire(old)
+		if e.State != grebefork.Ready {
+			t.leave()
 		}
-		l.targets[e.ID] = l.pool.target(m.HostPort, e.Start)
 	}
 	return entries
 }
@@ -428,7 +432,7 @@
 		left = min(left, a.Wait)
 	}
 	t := l.targets[a.Server]
-	if r.ended || left <= 0 || t == nil || n >= l.set.Load().Module.MaxAttempts {
+	if r.ended || left <= 0 || t == nil {
 		r.attempts = append(r.attempts, func() {})
 		l.events = append(l.events, grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -21,6 +21,9 @@
 // errSocketLimit says that the agent's own share of sockets is in use.
 var errSocketLimit = errors.New("no socket left for backends")
 
+// errLeft says that a backend has begun to leave before anything was sent.
+var errLeft = errors.New("the backend leaves")
+
 // ownShortage says whether an error is the agent's own want of sockets.
 func ownShortage(err error) bool {
 	return errors.Is(err, errSocketLimit) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
@@ -81,6 +84,9 @@
 	start   time.Duration // of the process
 	idle    []*conn       // the most recently used last
 	retired bool          // no connection is put back
+
+	left  context.Context // ends when the process begins to leave: nothing new is sent from then on
+	leave context.CancelFunc
 }
 
 // newPool returns a pool of so many connections at most.
@@ -120,6 +126,7 @@
 // target returns a new target.
 func (p *pool) target(addr string, start time.Duration) *target {
 	t := &target{addr: addr, start: start}
+	t.left, t.leave = context.WithCancel(context.Background())
 	p.mu.Lock()
 	p.targets[t] = struct{}{}
 	p.mu.Unlock()
@@ -128,6 +135,7 @@
 
 // retire closes the idle connections to a target, and those in use once they are back.
 func (p *pool) retire(t *target) {
+	t.leave()
 	p.mu.Lock()
 	t.retired = true
 	delete(p.targets, t)
@@ -206,11 +214,17 @@
 	if victim != nil {
 		victim.Close()
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(t.left, cancel)()
 	raw, err := dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if t.left.Err() != nil {
+			return nil, errLeft
+		}
 		return nil, err
 	}
 	p.counts.count(func(n *tally) { n.dialed++ })
--- a/state.go
+++ b/state.go
@@ -69,6 +69,7 @@
 	tenant        int
 	deadline, aim time.Duration
 	attempts      []attempt
+	unsent        int // of these, those that ended as Leaving
 	out           int // attempts out
 	ended         bool
 	begun         bool // it cannot be had again, nor its answer
--- a/types.go
+++ b/types.go
@@ -120,7 +120,7 @@
 // Outcome is how an attempt or probe ended.
 type Outcome uint8
 
-// The outcomes. Full, ConnectFailed and Moot prove that the attempt never ran.
+// The outcomes. Full, ConnectFailed, Moot and Leaving prove that the attempt never ran.
 const (
 	OK Outcome = iota
 	Error
@@ -130,6 +130,7 @@
 	Reset
 	Cancelled
 	Moot
+	Leaving // the server had begun to leave before anything was sent: no attempt
 )
 
 // By when the platform takes news of the list for told, whether or not they have come: "What it misses counts as told
