Keep calls for the list that fail at once from following each other at once

Of the failures in a row now only the first may be followed at once; the others wait 0.3 s at least, which leaves time for an answer (0.7 s are left after a call that hangs, and calls take 0.3 s). To blame: the bound in askIn alone.

TestAsksWithinWhatIsLeft fails without it. TestNothingNewToLeaving no longer counts on a dial that ends before it has a connection.

--- a/balancer.go
+++ b/balancer.go
@@ -92,15 +92,15 @@
 // or fail together and ask together fail again. So they ask in turn, by rank, in short turns, as an old list names
 // servers that have gone. Danger: what was missed may soon count as told; no turn or back-off outlasts what is left.
 func (b *Balancer) askIn(left time.Duration) {
-	agents := float64(b.set.Agents)
-	turn := (float64(b.set.Rank) + b.rng.Float64()) / agents
-	turns := min(0.6*b.set.MustAskIn.Seconds(), askSlot*agents)
+	turn := (float64(b.set.Rank) + b.rng.Float64()) / float64(b.set.Agents)
+	turns, least := min(0.6*b.set.MustAskIn.Seconds(), askSlot*float64(b.set.Agents)), 0.0
 	wait := turns * turn
-	if b.asks > 1 {
-		wait = min(b.set.MustAskIn.Seconds()/1.5, math.Ldexp(turns, b.asks-2)) * (0.5 + b.rng.Float64())
+	if b.asks > 1 { // nor do calls that fail at once follow each other at once
+		most := b.set.MustAskIn.Seconds() / 1.5
+		least, wait = askSlot, min(most, math.Ldexp(turns, b.asks-2))*(0.5+b.rng.Float64())
 	}
 	if left > 0 {
-		wait = min(wait, max(0, left.Seconds()-askAnswer)*turn)
+		wait = min(wait, max(least, (left.Seconds()-askAnswer)*turn))
 	}
 	b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: seconds(wait)})
 }
@@ -518,7 +518,6 @@
 			return false
 		}
 	}
-	n := uint64(len(r.attempts))
 	if len(r.attempts) > r.unsent {
 		b.extra.add(b.now)
 	}
@@ -528,7 +527,8 @@
 	s.inFlight++
 	s.since++
 	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, Wait: r.deadline - b.now, Within: within})
-	b.act(Action{Kind: ActTimer, Token: tokenCheck | n<<32 | uint64(r.id), Wait: r.class.patient()})
+	token := tokenCheck | uint64(len(r.attempts)-1)<<32 | uint64(r.id)
+	b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
 	return true
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -300,6 +300,40 @@
 	one(t, x.ask(1, pure), ActSend)
 }
 
+// The next call for the list leaves time for its answer, and for another, before what was missed counts as told; without
+// such a bound calls are made in turn, and then ever more seldom, but within MustAskIn.
+func TestAsksWithinWhatIsLeft(t *testing.T) {
+	for _, mustAskIn := range []time.Duration{time.Second, 10 * time.Second, time.Minute} {
+		for _, agents := range []int{1, 6, 350} {
+			s := settings()
+			s.AskList, s.MustAskIn, s.Agents, s.Rank = true, mustAskIn, agents, agents-1
+			for _, c := range []struct {
+				before      int // failures in a row
+				left        time.Duration
+				least, most time.Duration
+			}{
+				{0, 1400 * ms, 0, 0},
+				{1, 700 * ms, 50 * ms, 300 * ms},
+				{5, 700 * ms, 50 * ms, 300 * ms},
+				{0, 4 * time.Second, 0, 2500 * ms},
+				{0, 0, 0, mustAskIn * 6 / 10},
+				{1, 0, 50 * ms, mustAskIn},
+				{9, 0, mustAskIn / 3, mustAskIn},
+			} {
+				x := start(t, s, fleet(2)...)
+				for range c.before {
+					x.on(Event{Kind: EventList, ListMode: ListFailed})
+				}
+				a := one(t, x.on(Event{Kind: EventList, ListMode: ListFailed, Left: c.left}), ActTimer)
+				if a.Wait < c.least || a.Wait > c.most {
+					t.Errorf("%d agents, %v: %d failures and %v left: waits %v, want %v to %v", agents, mustAskIn, c.before+1,
+						c.left, a.Wait, c.least, c.most)
+				}
+			}
+		}
+	}
+}
+
 // What may be sent again, and how a request ends, by class and outcome.
 func TestEffects(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -83,13 +83,13 @@
 			}
 			<-b.got
 		}
-		open, tries := p.open, p.counts.tries
+		tries := p.counts.tries
 		to.leave()
 		if r := exchangeBy(p, t.Context(), to, &m, time.Time{}); r.outcome != grebefork.Leaving {
 			t.Errorf("idle connection %v: outcome %d", idle, r.outcome)
 		}
-		if len(b.got) > 0 || p.counts.tries != tries || p.open != open {
-			t.Errorf("idle connection %v: %d sent, %d tries counted, %d connections of %d left", idle, len(b.got), p.counts.tries, p.open, open)
+		if len(b.got) > 0 || p.counts.tries != tries || p.open != len(to.idle) {
+			t.Errorf("idle connection %v: %d sent, %d tries counted, %d connections open and %d idle", idle, len(b.got), p.counts.tries, p.open, len(to.idle))
 		}
 	}
 }
