--- /dev/null
+++ b/internal/scale/result/result.go
@@ -0,0 +1,186 @@
+// Package result holds what a scale run measured, in the form in which its parts hand it on and in which it is written
+// as JSON and as text. It computes nothing but summaries.
+package result
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Dist is a distribution in the unit of its owner's name. N 0 means that nothing was measured.
+type Dist struct {
+	N    int64   `json:"n"`
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	Max  float64 `json:"max"`
+}
+
+// histScale is how many steps of a Hist one unit has: three digits of figures from a thousandth on.
+const histScale = 1000
+
+// Hist collects figures not below 0, to three significant digits, in bounded memory.
+type Hist struct{ h *hdrhistogram.Histogram }
+
+// NewHist returns an empty histogram for figures up to the largest one; what is above counts as that.
+func NewHist(largest float64) *Hist {
+	return &Hist{hdrhistogram.New(1, int64(largest*histScale)+1, 3)}
+}
+
+// Add takes in one figure.
+func (h *Hist) Add(v float64) {
+	n := min(max(int64(v*histScale), 0), h.h.HighestTrackableValue())
+	_ = h.h.RecordValue(n) // it is within the bounds
+}
+
+// AddDuration takes in a time, in milliseconds.
+func (h *Hist) AddDuration(d time.Duration) { h.Add(float64(d) / float64(time.Millisecond)) }
+
+// Merge takes in all of another histogram.
+func (h *Hist) Merge(o *Hist) { h.h.Merge(o.h) }
+
+// Dist sums the figures up.
+func (h *Hist) Dist() Dist {
+	if h.h.TotalCount() == 0 {
+		return Dist{}
+	}
+	return Dist{
+		N: h.h.TotalCount(), Mean: h.h.Mean() / histScale,
+		P50: float64(h.h.ValueAtQuantile(50)) / histScale,
+		P99: float64(h.h.ValueAtQuantile(99)) / histScale,
+		Max: float64(h.h.Max()) / histScale,
+	}
+}
+
+// Sizes are what a run was played with.
+type Sizes struct {
+	Servers          int     `json:"servers"`
+	Services         int     `json:"services"`
+	Agents           int     `json:"agents"` // real ones among them
+	Real             int     `json:"real"`
+	Depth            int     `json:"depth"`
+	CallsPerSecond   float64 `json:"calls_per_second"`   // of the fleet, at all depths
+	ChangesPerMinute float64 `json:"changes_per_minute"` // of the configuration
+	Seconds          float64 `json:"seconds"`
+	Seed             uint64  `json:"seed"`
+}
+
+// AgentControl is what control cost the agents of one sort, hollow or real.
+type AgentControl struct {
+	Agents      int     `json:"agents"`
+	BytesIn     Dist    `json:"bytes_in_per_s"`  // mean of each agent over the run, bytes a second
+	BytesOut    Dist    `json:"bytes_out_per_s"` //
+	Worst6s     Dist    `json:"worst_6s_per_s"`  // of each agent: in and out, bytes a second over its worst 6 s
+	CPUPercent  float64 `json:"cpu_percent"`     // of one core, an agent, for control alone
+	HeapBytes   float64 `json:"heap_bytes"`      // live, an agent; hollow ones
+	RSSBytes    Dist    `json:"rss_bytes"`       // real ones
+	ListInForce Dist    `json:"list_in_force_ms"`
+	ConfInForce Dist    `json:"config_in_force_ms"`
+	Unheard     int     `json:"unheard"` // pairs of an agent and a change that had not come when the run ended, of those due
+}
+
+// ControlMachine is what one machine of the control side did: control itself, a relay, or the source of configuration.
+type ControlMachine struct {
+	Role       string  `json:"role"`
+	Name       string  `json:"name"`
+	Calls      int64   `json:"calls"`
+	WholeLists int64   `json:"whole_lists"`
+	Refused    int64   `json:"refused"`
+	BytesIn    int64   `json:"bytes_in"`
+	BytesOut   int64   `json:"bytes_out"`
+	CPUPercent float64 `json:"cpu_percent"` // of one core, real processor time
+	Busy       float64 `json:"busy"`        // share of the run that its stated costs took
+	Worst6s    float64 `json:"worst_6s_busy"`
+	QueueMS    Dist    `json:"queue_ms"` // how long calls waited for their turn
+	QueueMax   int     `json:"queue_max"`
+	RSSBytes   float64 `json:"rss_bytes"`
+}
+
+// Depth is what happened to calls at one depth below the root, 1 being the first.
+type Depth struct {
+	Depth             int     `json:"depth"`
+	Calls             int64   `json:"calls"` // wanted: attempts of the layer above that ran here
+	Attempts          int64   `json:"attempts"`
+	OK                int64   `json:"ok"`
+	Failed            int64   `json:"failed"`
+	Refused           int64   `json:"refused"`
+	FailCalls         int64   `json:"fail_calls"` // the same while a deep service failed
+	FailAttempts      int64   `json:"fail_attempts"`
+	FailOK            int64   `json:"fail_ok"`
+	PerRoot           float64 `json:"attempts_per_root"`      // attempts at this depth for each call at the root, in peace
+	FailPerRoot       float64 `json:"fail_attempts_per_root"` // while a deep service failed
+	Amplification     float64 `json:"amplification"`          // the second over the first
+	ServedMeanPercent float64 `json:"served_percent"`
+}
+
+// Window is what was served in one second of the run.
+type Window struct {
+	Second  int     `json:"second"`
+	Roots   int64   `json:"roots"`
+	Served  int64   `json:"served"`
+	Percent float64 `json:"percent"`
+}
+
+// EventResult is one event of the scenario as it was played.
+type EventResult struct {
+	Kind       string  `json:"kind"`
+	At         float64 `json:"at_s"`
+	Length     float64 `json:"length_s"`
+	Affects    int     `json:"affects"`     // agents, servers or machines, by its kind
+	Bytes      int64   `json:"bytes"`       // of control in and out, all agents, in the event and 6 s after it
+	InForceMS  Dist    `json:"in_force_ms"` // of the changes that it made, at each agent
+	Unheard    int     `json:"unheard"`
+	ServedPct  float64 `json:"served_percent"`  // of the calls at the root, meanwhile
+	BeforePct  float64 `json:"before_percent"`  // in the 5 s before
+	BackAfterS float64 `json:"back_after_s"`    // from its end until nine tenths of before are served again; -1: not within the run
+	FullLists  int64   `json:"whole_lists"`     // that control and relays wrote meanwhile
+	Refused    int64   `json:"control_refused"` // calls of control and relays meanwhile
+}
+
+// Added is the time that a real agent adds to a call, against the same call made directly, in turn in one run.
+type Added struct {
+	Through   Dist    `json:"through_ms"`
+	Direct    Dist    `json:"direct_ms"`
+	MedianMS  float64 `json:"added_median_ms"` // of the pairs' differences
+	P99MS     float64 `json:"added_p99_ms"`    // P99 of the one less P99 of the other
+	Failed    int     `json:"failed"`
+	CallsEach int     `json:"calls_each"`
+}
+
+// Budget is one line of what the target allows.
+type Budget struct {
+	Name     string  `json:"name"`
+	Measured float64 `json:"measured"`
+	Limit    float64 `json:"limit"`
+	Unit     string  `json:"unit"`
+	OK       bool    `json:"ok"`
+}
+
+// Ratio holds a figure of the hollow agents against the real ones' of the same run.
+type Ratio struct {
+	Name   string  `json:"name"`
+	Hollow float64 `json:"hollow"`
+	Real   float64 `json:"real"`
+	Ratio  float64 `json:"ratio"`  // hollow over real
+	Factor float64 `json:"factor"` // the ratio may lie between 1/Factor and Factor
+	OK     bool    `json:"ok"`
+}
+
+// Run is all that one run measured.
+type Run struct {
+	Scenario   string           `json:"scenario"`
+	Sizes      Sizes            `json:"sizes"`
+	Hollow     AgentControl     `json:"hollow"`
+	Real       AgentControl     `json:"real"`
+	Control    []ControlMachine `json:"control"`
+	Depths     []Depth          `json:"depths"`
+	Windows    []Window         `json:"windows"`
+	Events     []EventResult    `json:"events"`
+	Added      Added            `json:"added"`
+	Ratios     []Ratio          `json:"ratios"`
+	Budgets    []Budget         `json:"budgets"`
+	LateTold   int              `json:"late_told"` // changes that the stand-in itself told later than its stated costs explain
+	WallSecond float64          `json:"wall_s"`
+	Incomplete string           `json:"incomplete,omitempty"` // why the run was cut short
+}
