Take discovery, configuration and membership out of internal/agent

Change: internal/discovery is the calls, their bounds and the parsing, internal/config the configuration file, internal/membership the numbers of the backends and the list in the module's terms. Imports go in one direction: agent, then membership and config, then discovery, settings, the root package. No decision changes. The agent counts the calls in a callback, as before. ParseReload is Reload for those who hold the bytes. The table frees by a change only what the change names, where each change walked all names; it counts states as it goes, where each report walked the list; the numbers' names are kept once, in the members.

Tests moved with what they test; the fleets of told_test.go run on the client, the table and a balancer, without the loop. What runs a whole agent stays, and the part of TestReadyInTime that starts one is TestReadyInTimeWithAList there. test.sh names both packages. New: Parse, the counted calls, the dial and the revisions told, and the table against a model over 3,000 random lists, changes and failures.

--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"example.org/grebefork/internal/agent"
+	"example.org/grebefork/internal/config"
 )
 
 func main() {
@@ -33,17 +34,17 @@
 	if path == "" {
 		return errors.New("GW_CONFIG is not set: it names the configuration file")
 	}
-	cfg, err := agent.LoadConfig(path)
+	cfg, err := config.Load(path)
 	if err != nil {
 		return err
 	}
 	log = log.With("agent", cfg.Name)
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
-	reloads := make(chan agent.Reload)
+	reloads := make(chan config.Reloaded)
 	go func() {
 		present := cfg
 		for range hangups {
-			next := agent.ReloadConfig(path, present)
+			next := config.Reload(path, present)
 			if next.Err == nil {
 				present = next.Config
 			}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/config"
+	"example.org/grebefork/internal/discovery"
 )
 
 const (
@@ -40,7 +42,7 @@
 
 // Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
 // reloaded it takes the settings and discovery's address.
-func Run(ctx context.Context, cfg *Config, reloads <-chan Reload, log *slog.Logger) error {
+func Run(ctx context.Context, cfg *config.Config, reloads <-chan config.Reloaded, log *slog.Logger) error {
 	return serve(ctx, cfg, reloads, func() (*net.TCPListener, error) {
 		return listen(ctx, cfg.Listen, cfg.Console != "")
 	}, log)
@@ -69,7 +71,7 @@
 	return l.(*net.TCPListener), nil
 }
 
-func serve(ctx context.Context, cfg *Config, reloads <-chan Reload, listening func() (*net.TCPListener, error), log *slog.Logger) error {
+func serve(ctx context.Context, cfg *config.Config, reloads <-chan config.Reloaded, listening func() (*net.TCPListener, error), log *slog.Logger) error {
 	own := limitsOf(cfg, 1)
 	pool := newPool(&cfg.Settings, own.backends)
 	l, err := newLoop(&cfg.Settings, cfg.Seed, pool, log)
@@ -79,12 +81,14 @@
 	// What the agent has taken it finishes, so its workers outlive the context.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	tell := func(n listNews) {
-		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: n.mode, Left: n.left}, members: n.members})
+	tell := func(n discovery.News) {
+		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: n.Mode, Left: n.Left}, members: n.Members})
 	}
-	d := newDiscovery(cfg.Discovery, l.set.Load, tell, &pool.counts, log)
-	d.startFrom(cfg.known)
-	l.follow = d.asked
+	d := discovery.New(discovery.Options{
+		Addr: cfg.Discovery, Settings: l.set.Load, Tell: tell, Count: pool.counts.called, Log: log,
+	})
+	d.StartFrom(cfg.Known)
+	l.follow = d.Ask
 	clients := &admission{figures: &pool.counts, most: own.clients, busy: own.busy}
 	handler := &server{
 		loop: l, figures: &pool.counts, clients: clients, most: int64(own.busy - own.busy/8),
@@ -105,8 +109,8 @@
 	}
 	moves := make(chan string)
 	go l.run(work)
-	tell(listNews{mode: grebefork.ListCached, members: cfg.known.Members})
-	go d.run(work, moves)
+	tell(discovery.News{Mode: grebefork.ListCached, Members: cfg.Known.Members})
+	go d.Run(work, moves)
 	go l.follows(work, reloads, moves)
 
 	if beside != nil {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -344,34 +343,3 @@
 	}
 	return load
 }
-
-// serverIDs derives numbers from the backends' names, the same in every life of the agent.
-type serverIDs struct {
-	ids   map[string]grebefork.ServerID
-	names map[grebefork.ServerID]string
-}
-
-// of returns the number of a name, and takes one for it if it is new. Names that would share a number are kept
-// apart: the later one gets the next that is free.
-func (s *serverIDs) of(name string) grebefork.ServerID {
-	if id, ok := s.ids[name]; ok {
-		return id
-	}
-	hash := fnv.New32a()
-	hash.Write([]byte(name))
-	id := grebefork.ServerID(hash.Sum32())
-	for {
-		if _, taken := s.names[id]; !taken {
-			break
-		}
-		id++
-	}
-	s.ids[name], s.names[id] = id, name
-	return id
-}
-
-// free forgets a name that has left the list.
-func (s *serverIDs) free(id grebefork.ServerID) {
-	delete(s.ids, s.names[id])
-	delete(s.names, id)
-}
--- a/internal/agent/figures.go
+++ b/internal/agent/figures.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
 )
 
 const (
@@ -87,6 +88,16 @@
 	f.mu.Unlock()
 }
 
+// called counts a call of discovery.
+func (f *figures) called(c discovery.Call) {
+	f.count(func(t *tally) {
+		if t.listCalls++; c.Err != nil {
+			t.listFails++
+		}
+		t.slowestList = max(t.slowestList, c.Took-c.Wait)
+	})
+}
+
 // total changes the totals.
 func (f *figures) total(change func(*totals)) {
 	f.mu.Lock()
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -1,11 +1,12 @@
 package agent
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"example.org/grebefork/internal/config"
+)
 
 const (
-	// reservedSockets is for the descriptors that are neither clients' nor backends': the standard streams, the
-	// listeners, the runtime's poller, discovery, the console, the link, and connections that are just being closed.
-	reservedSockets = 32
 	// spareClients are for those who connect beside the application.
 	spareClients = 8
 	// streamShare is the part of the memory that streams may hold.
@@ -27,19 +28,19 @@
 // limitsOf shares out a configuration's limits. Clients are not shared out: the application holds a third of the
 // descriptors at most for its requests, whichever process they are at. Were there room for more, those that it has used
 // once and keeps would leave it none for the next request.
-func limitsOf(cfg *Config, processes int) limits {
+func limitsOf(cfg *config.Config, processes int) limits {
 	memory := int64(cfg.MemoryMB) << 20 / int64(processes)
 	return limits{
-		backends:  max(1, (cfg.Sockets/processes-reservedSockets)/2),
-		clients:   min((cfg.Sockets-reservedSockets)/2, cfg.Sockets*3/10),
-		busy:      min((cfg.Sockets-reservedSockets)/2, cfg.Sockets/3+spareClients),
+		backends:  max(1, (cfg.Sockets/processes-config.ReservedSockets)/2),
+		clients:   min((cfg.Sockets-config.ReservedSockets)/2, cfg.Sockets*3/10),
+		busy:      min((cfg.Sockets-config.ReservedSockets)/2, cfg.Sockets/3+spareClients),
 		streams:   memory / streamShare,
 		collector: int64(collectorShare * float64(memory)),
 	}
 }
 
 // share puts the limits of one of so many processes in force.
-func (p *pool) share(cfg *Config, processes int) {
+func (p *pool) share(cfg *config.Config, processes int) {
 	l := limitsOf(cfg, processes)
 	debug.SetMemoryLimit(l.collector)
 	p.resize(l.backends)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -4,13 +4,13 @@
 	"container/heap"
 	"context"
 	"log/slog"
-	"math"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/membership"
 	"example.org/grebefork/internal/settings"
 )
 
@@ -33,7 +33,7 @@
 	call    *call              // of EventRequest and EventHangup
 	answer  answer             // of EventOutcome, if it is OK
 	gone    bool               // of EventOutcome: the attempt found the client gone
-	members []member           // of EventList
+	members []discovery.Member // of EventList
 	adopt   *settings.Settings // instead of an event
 	adopted chan<- error
 }
@@ -88,9 +88,8 @@
 	heard    atomic.Bool   // and it is no old one
 	shown    bool          // the figures are read: the loop publishes its own
 
-	servers  serverIDs
+	servers  *membership.Table // as discovery last told
 	targets  map[grebefork.ServerID]*target
-	members  map[grebefork.ServerID]member // as discovery last told
 	requests map[grebefork.RequestID]*request
 	callIDs  callIDs
 	lastID   grebefork.RequestID
@@ -108,9 +107,8 @@
 		clock: clock{time.Now()}, balancer: balancer, pool: pool, log: log,
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
-		servers:  serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}},
+		servers:  membership.New(),
 		targets:  map[grebefork.ServerID]*target{},
-		members:  map[grebefork.ServerID]member{},
 		requests: map[grebefork.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}
@@ -172,10 +170,10 @@
 			l.pool.sweep()
 			l.callIDs.age()
 		case <-gauges:
-			l.pool.counts.listed.Store(int64(len(l.members)))
+			l.pool.counts.listed.Store(int64(l.servers.Len()))
 			l.pool.counts.avoidedNow.Store(int64(l.balancer.Avoided(l.clock.now())))
 		case <-report.C:
-			l.pool.counts.report(l.log, l.listed(grebefork.Ready), l.listed(grebefork.Draining))
+			l.pool.counts.report(l.log, l.servers.Count(grebefork.Ready), l.servers.Count(grebefork.Draining))
 		case <-ctx.Done():
 			return
 		}
@@ -327,30 +325,19 @@
 func (c *callIDs) age() { c.recent, c.older = map[string]struct{}{}, c.recent }
 
 // entries notes where the members of a list are and turns them into the module's terms.
-func (l *loop) entries(members []member) []grebefork.ServerEntry {
-	entries := make([]grebefork.ServerEntry, 0, len(members))
-	for _, m := range members {
-		e := grebefork.ServerEntry{
-			ID:     l.servers.of(m.ID),
-			Zone:   slices.Index(l.set.Load().Zones, m.Locality),
-			Kind:   slices.Index(l.set.Load().Kinds, m.Flavor),
-			Cell:   m.Cell,
-			State:  phases[m.Phase],
-			Weight: m.Size,
-			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
-		}
-		entries = append(entries, e)
-		l.members[e.ID] = m
+func (l *loop) entries(members []discovery.Member) []grebefork.ServerEntry {
+	entries := l.servers.Entries(l.set.Load(), members)
+	for i, e := range entries {
 		if e.State == grebefork.Gone {
 			continue // forgotten once the module has heard of it
 		}
-		t := l.targets[e.ID]
-		same := t != nil && t.addr == m.HostPort && t.start == e.Start
+		addr, t := members[i].HostPort, l.targets[e.ID]
+		same := t != nil && t.addr == addr && t.start == e.Start
 		if !same || e.State == grebefork.Ready && t.left.Err() != nil { // one that stays after all may be sent to again
 			if t != nil {
 				l.pool.retire(t)
 			}
-			t = l.pool.target(m.HostPort, e.Start)
+			t = l.pool.target(addr, e.Start)
 			l.targets[e.ID] = t
 		}
 		if e.State != grebefork.Ready {
@@ -362,31 +349,12 @@
 
 // forgetGone drops the addresses and idle connections of the backends that a list has shown to be gone.
 func (l *loop) forgetGone(mode grebefork.ListMode, entries []grebefork.ServerEntry) {
-	stays := make(map[grebefork.ServerID]bool, len(entries))
-	for _, e := range entries {
-		stays[e.ID] = e.State != grebefork.Gone
-	}
-	for id := range l.servers.names {
-		if here, listed := stays[id]; here || !listed && mode == grebefork.ListDelta {
-			continue
-		}
+	for _, id := range l.servers.Forget(mode, entries) {
 		if t := l.targets[id]; t != nil {
 			l.pool.retire(t)
 			delete(l.targets, id)
 		}
-		l.servers.free(id)
-		delete(l.members, id)
-	}
-}
-
-// listed counts the backends that discovery says are in a state.
-func (l *loop) listed(state grebefork.ServerState) (n int) {
-	for _, m := range l.members {
-		if phases[m.Phase] == state {
-			n++
-		}
 	}
-	return n
 }
 
 // handle hands an event to the module and carries out what it answers, and so on with the events that come of it.
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -5,11 +5,12 @@
 	"slices"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/config"
 	"example.org/grebefork/internal/settings"
 )
 
 // follows puts each configuration in force that comes, until the context ends.
-func (l *loop) follows(ctx context.Context, reloads <-chan Reload, moves chan<- string) {
+func (l *loop) follows(ctx context.Context, reloads <-chan config.Reloaded, moves chan<- string) {
 	for {
 		select {
 		case r := <-reloads:
@@ -21,7 +22,7 @@
 }
 
 // reload puts a configuration in force, its settings first and then discovery's address, or counts it as rejected.
-func (l *loop) reload(ctx context.Context, r Reload, moves chan<- string) {
+func (l *loop) reload(ctx context.Context, r config.Reloaded, moves chan<- string) {
 	err := r.Err
 	if err == nil {
 		adopted := make(chan error, 1)
@@ -54,15 +55,11 @@
 	old := l.set.Swap(next)
 	l.pool.adopt(next)
 	l.pool.counts.know(next.Classes)
-	if slices.Equal(old.Zones, next.Zones) && slices.Equal(old.Kinds, next.Kinds) || len(l.members) == 0 {
+	if slices.Equal(old.Zones, next.Zones) && slices.Equal(old.Kinds, next.Kinds) || l.servers.Len() == 0 {
 		return nil
 	}
 	// Danger: zones and kinds are positions in the settings' lists, and those have changed under the servers.
-	var members []member
-	for _, m := range l.members {
-		members = append(members, m)
-	}
-	l.handle(ctx, grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull, Servers: l.entries(members)})
+	l.handle(ctx, grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull, Servers: l.entries(l.servers.Members())})
 	return nil
 }
 
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const configText = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+ "limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},"settings":` + settingsText + `}`
+
+const settingsText = `{
+ "categories":[
+  {"name":"keyed","aim":20000,"deadline":30000,"credit":1,"effect":"token","dedupScope":"all","repeatWindow":30000},
+  {"name":"celled","aim":20000,"deadline":30000,"credit":1,"effect":"token","dedupScope":"cell","repeatWindow":30000},
+  {"name":"unsafe","aim":20000,"deadline":30000,"credit":1,"effect":"side_effect"},
+  {"name":"safe","aim":20000,"deadline":30000,"credit":1,"effect":"pure"}],
+ "accounts":[{"name":"acme","portion":1}],
+ "localities":["a"],"skus":["m1"],"replicasOfMe":1,"rank":0,"discovery":"automatic","tick":5,
+ "report":{"fields":["outstanding","recent_ms"],"how":"off"},
+ "limits":{"maxAttempts":3,"cancel":true,"secondCopies":true,"retryAfter":true,"connectTimeout":2000,"idleClose":30000},
+ "rules":{"coldFrom":0.5,"warmAfter":1000,"overloadFactor":2,"extraFloor":100,"extraWindow":1000}}`
+
+func TestBadConfig(t *testing.T) {
+	if _, err := Parse([]byte(configText)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ field, old, new string }{
+		{"listen", `"127.0.0.1:0"`, `"here"`},
+		{"discovery", `"127.0.0.1:1"`, `""`},
+		{"seed", `"1f"`, `"xyz"`},
+		{"limits.cores", `"cores":1`, `"cores":0`},
+		{"limits.memory_mb", `:192`, `:1`},
+		{"limits.sockets", `:1024`, `:10`},
+		{"known", `"revision":1,`, ``},
+		{"limits.connectTimeout", `"connectTimeout":2000`, `"connectTimeout":0`},
+		{"limits.idleClose", `"idleClose":30000`, `"idleClose":-1`},
+		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":0`},
+		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
+		{"report.how", `"off"`, `"odd"`},
+		{"settings.categories[2].credit", `"credit":1,"effect":"side_effect"`, `"effect":"side_effect"`},
+		{"settings.limits.maxAttempts", `"maxAttempts":3,`, ``},
+		{"settings", `"settings"`, `"sets"`},
+		{"console", `"seed"`, `"console":"here","seed"`},
+	} {
+		text := strings.Replace(configText, c.old, c.new, 1)
+		_, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", c.field, err)
+		}
+	}
+}
+
+// A file that lacks what the present one has, or says what cannot be, is turned down with the name of the field.
+func TestBrokenFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(configText)
+	present, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := Reload(path, present); r.Err != nil {
+		t.Fatalf("the same file: %v", r.Err)
+	}
+	write(strings.Replace(configText, `{"name":"unsafe"`, `{"name":"new","aim":1,"deadline":2,"credit":1,"effect":"pure"},{"name":"unsafe"`, 1))
+	if r := Reload(path, present); r.Err != nil {
+		t.Fatalf("a class more: %v", r.Err)
+	}
+	for _, c := range []struct{ field, old, new string }{
+		{"", configText, ""},
+		{"", configText, "null"},
+		{"", configText, configText[:len(configText)/2]},
+		{"settings", `"settings":` + settingsText, `"x":1`},
+		{"discovery", `"discovery":"127.0.0.1:1",`, ``},
+		{"settings.rules.warmAfter", `"warmAfter":1000,`, ``},
+		{"settings.rules", `"rules":{`, `"x":{`},
+		{"rules", `"rules":{`, `"rules":7,"x":{`},
+		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":-1`},
+		{"maxAttempts", `"maxAttempts":3`, `"maxAttempts":"3"`},
+		{"maxAttempts", `"maxAttempts":3,`, ``},
+		{"Classes[3].Deadline", `"deadline":30000,"credit":1,"effect":"pure"`, `"deadline":0,"credit":1,"effect":"pure"`},
+		{"settings.categories[2].credit", `"credit":1,"effect":"side_effect"`, `"effect":"side_effect"`},
+		{"deadline", `"deadline":30000,"credit":1,"effect":"side_effect"`, `"deadline":"x","credit":1,"effect":"side_effect"`},
+		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
+		{"categories[1].name", `"name":"celled",`, ``},
+	} {
+		text := strings.Replace(configText, c.old, c.new, 1)
+		if text == configText {
+			t.Fatalf("%s: nothing replaced", c.field)
+		}
+		write(text)
+		if next, err := ParseReload([]byte(text), present); err == nil || next != nil {
+			t.Errorf("%s for %.40s: the bytes are taken", c.new, c.old)
+		}
+		r := Reload(path, present)
+		if r.Err == nil || !strings.Contains(strings.ToLower(r.Err.Error()), strings.ToLower(c.field)) {
+			t.Errorf("%s for %.40s: error %v, want one that names %q", c.new, c.old, r.Err, c.field)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,166 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
+)
+
+// wait bounds what a test waits for; nothing passes by it.
+const wait = 20 * time.Second
+
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(wait):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// A call for the list that hangs is given up before the platform counts what it missed as told, 6 s from its begin, with
+// time for another, be it a watch or not.
+func TestHangingCallsEndInTime(t *testing.T) {
+	revision := uint64(41)
+	for _, c := range []struct {
+		ask      bool
+		revision *uint64
+		most     time.Duration
+	}{
+		{true, nil, 4 * time.Second}, {false, nil, 4 * time.Second},
+		{true, &revision, 4 * time.Second}, {false, &revision, 4 * time.Second},
+	} {
+		set := &settings.Settings{Module: grebefork.Settings{Agents: 1, AskList: c.ask}}
+		d := New(Options{Addr: "127.0.0.1:1", Settings: func() *settings.Settings { return set }, Log: slog.New(slog.DiscardHandler)})
+		d.revision = c.revision
+		d.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			if due, ok := r.Context().Deadline(); !ok || time.Until(due) > c.most {
+				t.Errorf("asked %v, list held %v: waits until %v, want %v at most", c.ask, c.revision != nil, due, c.most)
+			}
+			return nil, errors.New("no discovery")
+		})
+		wait := pushWatch
+		switch {
+		case c.revision == nil:
+			wait = 0
+		case c.ask:
+			wait = leastWait + askTurn
+		}
+		d.get(t.Context(), wait)
+	}
+}
+
+// A list is taken whole or not at all, and the error says what cannot be used.
+func TestParse(t *testing.T) {
+	const good = `{"revision":7,"complete":true,"members":[
+	 {"id":"x","host_port":"10.0.0.1:80","locality":"a","flavor":"m1","cell":3,"phase":"Ready","size":2,"up_since_ms":5},
+	 {"id":"y","phase":"Gone"}]}`
+	l, err := Parse([]byte(good))
+	if err != nil || *l.Revision != 7 || !l.Complete || len(l.Members) != 2 ||
+		l.Members[0] != (Member{"x", "10.0.0.1:80", "a", "m1", 3, "Ready", 2, 5}) {
+		t.Fatalf("%+v, error %v", l, err)
+	}
+	for _, c := range []struct{ what, old, new string }{
+		{"unexpected end", good, good[:len(good)/2]},
+		{"no revision", `"revision":7,`, ``},
+		{"members[0].id", `"id":"x"`, `"id":""`},
+		{"members[1].id", `"id":"y"`, `"id":"x"`},
+		{"members[1].id", `"id":"y"`, fmt.Sprintf(`"id":%q`, strings.Repeat("y", maxServerID+1))},
+		{"members[0].phase", `"Ready"`, `"Odd"`},
+		{"members[0].up_since_ms", `:5}`, `:-1}`},
+		{"members[0].up_since_ms", `:5}`, `:9e12}`},
+		{"members[0].host_port", `10.0.0.1:80`, `there:80`},
+	} {
+		l, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if !errors.Is(err, ErrBadList) || !strings.Contains(err.Error(), c.what) || l.Members != nil {
+			t.Errorf("%s: %+v, error %v", c.what, l, err)
+		}
+	}
+}
+
+// Each call is counted once, with its wait, its time and its error, before what came of it is told; what is told says its
+// revision; and all calls go through the dial that the client is given.
+func TestCallsAreCountedAndDialed(t *testing.T) {
+	answers := make(chan string)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case text := <-answers:
+			fmt.Fprint(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	dialed, calls, told := make(chan string, 100), make(chan Call, 100), make(chan News, 100)
+	set := &settings.Settings{Module: grebefork.Settings{Agents: 1}}
+	d := New(Options{
+		Addr: "127.0.0.1:1", Settings: func() *settings.Settings { return set }, Log: slog.New(slog.DiscardHandler),
+		Tell: func(n News) {
+			if len(calls) == 0 {
+				t.Errorf("told %+v, and no call is counted", n)
+			}
+			told <- n
+		},
+		Count: func(c Call) { calls <- c },
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dialed <- addr
+			return (&net.Dialer{}).DialContext(ctx, network, s.Listener.Addr().String())
+		},
+	})
+	ended := make(chan struct{})
+	go func() { d.Run(ctx, nil); close(ended) }()
+	for i, c := range []struct {
+		text     string
+		wait     time.Duration
+		fails    bool
+		mode     grebefork.ListMode // told, if it does not fail
+		revision uint64
+	}{
+		{`{"revision":4,"complete":true,"members":[{"id":"x","host_port":"10.0.0.1:80","phase":"Ready"}]}`, 0, false, grebefork.ListFull, 4},
+		{`{"revision":6,"complete":false,"members":[{"id":"x","phase":"Gone"}]}`, pushWatch, false, grebefork.ListDelta, 6},
+		{`no list`, pushWatch, true, 0, 0},
+		{`{"revision":9,"complete":true,"members":[]}`, 0, false, grebefork.ListFull, 9},
+	} {
+		select {
+		case answers <- c.text:
+		case <-time.After(wait):
+			t.Fatalf("no call %d", i)
+		}
+		if !c.fails {
+			if n := receive(t, "news", told); n.Mode != c.mode || n.Revision != c.revision {
+				t.Errorf("call %d: told %+v", i, n)
+			}
+		}
+		got := receive(t, "count", calls)
+		if got.Wait != c.wait || got.Took <= 0 || errors.Is(got.Err, ErrBadList) != c.fails || got.Err != nil != c.fails {
+			t.Errorf("call %d: counted as %+v", i, got)
+		}
+	}
+	stop()
+	receive(t, "end", ended)
+	for n := len(dialed); n > 0; n-- {
+		if addr := <-dialed; addr != "127.0.0.1:1" {
+			t.Errorf("dialed %s", addr)
+		}
+	}
+	if len(told) > 0 {
+		t.Errorf("%d more told", len(told))
+	}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,133 @@
+// Package membership holds the backends as discovery last told them and turns lists into the module's terms.
+package membership
+
+import (
+	"hash/fnv"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/settings"
+)
+
+// Table numbers the backends by their names, the same in every life of the agent, and knows what discovery last said of
+// each. It is one goroutine's.
+type Table struct {
+	ids     map[string]grebefork.ServerID
+	members map[grebefork.ServerID]discovery.Member
+	states  map[grebefork.ServerState]int // members
+}
+
+// New makes an empty table.
+func New() *Table {
+	return &Table{
+		ids:     map[string]grebefork.ServerID{},
+		members: map[grebefork.ServerID]discovery.Member{},
+		states:  map[grebefork.ServerState]int{},
+	}
+}
+
+// Entries notes the members of a list, or of changes, and returns an entry for each, in their order. One that is gone is
+// noted too, until Forget: its number must not be another's before the module has heard.
+func (t *Table) Entries(set *settings.Settings, members []discovery.Member) []grebefork.ServerEntry {
+	entries := make([]grebefork.ServerEntry, 0, len(members))
+	for _, m := range members {
+		e := grebefork.ServerEntry{
+			ID:     t.of(m.ID),
+			Zone:   slices.Index(set.Zones, m.Locality),
+			Kind:   slices.Index(set.Kinds, m.Flavor),
+			Cell:   m.Cell,
+			State:  discovery.Phases[m.Phase],
+			Weight: m.Size,
+			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
+		}
+		old, known := t.members[e.ID]
+		if known && old.Phase != m.Phase {
+			t.states[discovery.Phases[old.Phase]]--
+		}
+		if !known || old.Phase != m.Phase {
+			t.states[e.State]++
+		}
+		if old != m {
+			t.members[e.ID] = m
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// Forget frees the backends that a list has shown to be gone, by what Entries returned for it, and returns their numbers in
+// no order. Changes cost what they name; a list, which is whole, also frees what it does not name. After ListFailed
+// nothing is gone.
+func (t *Table) Forget(mode grebefork.ListMode, entries []grebefork.ServerEntry) (gone []grebefork.ServerID) {
+	if mode == grebefork.ListFailed {
+		return nil
+	}
+	if mode == grebefork.ListDelta {
+		for _, e := range entries {
+			if m, known := t.members[e.ID]; known && discovery.Phases[m.Phase] == grebefork.Gone {
+				t.free(e.ID)
+				gone = append(gone, e.ID)
+			}
+		}
+		return gone
+	}
+	stays := make(map[grebefork.ServerID]bool, len(entries))
+	for _, e := range entries {
+		stays[e.ID] = e.State != grebefork.Gone
+	}
+	for _, id := range t.ids {
+		if !stays[id] {
+			t.free(id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Members returns all members, in no order.
+func (t *Table) Members() []discovery.Member {
+	return slices.AppendSeq(make([]discovery.Member, 0, len(t.members)), maps.Values(t.members))
+}
+
+// Len counts the members.
+func (t *Table) Len() int { return len(t.members) }
+
+// Count counts the members that discovery says are in a state.
+func (t *Table) Count(state grebefork.ServerState) int { return t.states[state] }
+
+// Member returns what discovery last said of a backend, and whether it is in the table.
+func (t *Table) Member(id grebefork.ServerID) (discovery.Member, bool) {
+	m, known := t.members[id]
+	return m, known
+}
+
+// of returns the number of a name, and takes one for it if it is new. Names that would share a number are kept
+// apart: the later one gets the next that is free.
+func (t *Table) of(name string) grebefork.ServerID {
+	if id, ok := t.ids[name]; ok {
+		return id
+	}
+	hash := fnv.New32a()
+	hash.Write([]byte(name))
+	id := grebefork.ServerID(hash.Sum32())
+	for {
+		if _, taken := t.members[id]; !taken {
+			break
+		}
+		id++
+	}
+	t.ids[name] = id
+	return id
+}
+
+// free forgets a name that has left the list.
+func (t *Table) free(id grebefork.ServerID) {
+	m := t.members[id]
+	t.states[discovery.Phases[m.Phase]]--
+	delete(t.ids, m.ID)
+	delete(t.members, id)
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,142 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/settings"
+)
+
+func ready(id string) discovery.Member {
+	return discovery.Member{ID: id, HostPort: "10.0.0.1:80", Phase: "Ready"}
+}
+
+func TestServerIDsStayApart(t *testing.T) {
+	table, set := New(), &settings.Settings{}
+	both := table.Entries(set, []discovery.Member{ready("costarring"), ready("liquid")}) // one hash
+	x, y := both[0].ID, both[1].ID
+	if x+1 != y || table.Entries(set, []discovery.Member{ready("costarring")})[0].ID != x {
+		t.Errorf("got %d and %d", x, y)
+	}
+	left := table.Entries(set, []discovery.Member{ready("liquid")})
+	if gone := table.Forget(grebefork.ListFull, left); !slices.Equal(gone, []grebefork.ServerID{x}) {
+		t.Errorf("gone are %d, want %d", gone, x)
+	}
+	if table.Entries(set, []discovery.Member{ready("liquid")})[0].ID != y {
+		t.Error("the second name's number has changed with the first gone")
+	}
+}
+
+// An entry says in the module's terms what discovery said; what the settings do not name is at no position.
+func TestEntries(t *testing.T) {
+	set := &settings.Settings{Zones: []string{"a", "b"}, Kinds: []string{"m1"}}
+	m := discovery.Member{ID: "x", HostPort: "10.0.0.1:80", Locality: "b", Flavor: "m2", Cell: 4, Phase: "Terminating", Size: 2, UpSince: 1.5}
+	table := New()
+	e := table.Entries(set, []discovery.Member{m})[0]
+	want := grebefork.ServerEntry{ID: e.ID, Zone: 1, Kind: -1, Cell: 4, State: grebefork.Draining, Weight: 2, Start: 1500 * time.Microsecond}
+	if e != want {
+		t.Errorf("got %+v, want %+v", e, want)
+	}
+	if got, known := table.Member(e.ID); !known || got != m {
+		t.Errorf("the table has %+v, %v", got, known)
+	}
+	if _, known := table.Member(e.ID + 1); known {
+		t.Error("the table has a backend that nobody told")
+	}
+}
+
+// Whatever comes of lists, changes and failures, the table has who was told and has not gone, each at its number, and tells
+// of each that goes once.
+func TestTableFollowsLists(t *testing.T) {
+	set, r := &settings.Settings{}, rand.New(rand.NewPCG(1, 2))
+	phases := []string{"Ready", "Ready", "Terminating", "Gone"}
+	table, want, ids := New(), map[string]string{}, map[string]grebefork.ServerID{}
+	for step := range 3000 {
+		mode := []grebefork.ListMode{grebefork.ListDelta, grebefork.ListDelta, grebefork.ListFull, grebefork.ListCached, grebefork.ListFailed}[r.IntN(5)]
+		var members []discovery.Member
+		if mode != grebefork.ListFailed {
+			for _, i := range r.Perm(40)[:r.IntN(40)] {
+				m := ready(fmt.Sprint("s-", i))
+				m.Phase = phases[r.IntN(len(phases))]
+				members = append(members, m)
+			}
+		}
+		var gone []string // as it has to be
+		for name := range want {
+			listed := slices.ContainsFunc(members, func(m discovery.Member) bool { return m.ID == name })
+			if !listed && (mode == grebefork.ListFull || mode == grebefork.ListCached) {
+				gone = append(gone, name)
+			}
+		}
+		for _, m := range members {
+			if want[m.ID] = m.Phase; m.Phase == "Gone" {
+				gone = append(gone, m.ID)
+			}
+		}
+		entries := table.Entries(set, members)
+		for i, e := range entries {
+			if id, known := ids[members[i].ID]; known && id != e.ID {
+				t.Fatalf("step %d: %s had %d, has %d", step, members[i].ID, id, e.ID)
+			}
+			ids[members[i].ID] = e.ID
+		}
+		var wantGone []grebefork.ServerID
+		for _, name := range gone {
+			wantGone = append(wantGone, ids[name])
+			delete(want, name)
+			delete(ids, name)
+		}
+		got := table.Forget(mode, entries)
+		slices.Sort(got)
+		slices.Sort(wantGone)
+		if !slices.Equal(got, wantGone) {
+			t.Fatalf("step %d, mode %d: gone are %d, want %d", step, mode, got, wantGone)
+		}
+		count := map[grebefork.ServerState]int{}
+		for name, phase := range want {
+			if m, known := table.Member(ids[name]); !known || m.ID != name || m.Phase != phase {
+				t.Fatalf("step %d: %s is %+v", step, name, m)
+			}
+			count[discovery.Phases[phase]]++
+		}
+		for _, state := range []grebefork.ServerState{grebefork.Gone, grebefork.Ready, grebefork.Draining} {
+			if n := table.Count(state); n != count[state] {
+				t.Fatalf("step %d: %d in state %d, want %d", step, n, state, count[state])
+			}
+		}
+		if table.Len() != len(want) || len(table.ids) != len(want) || len(table.Members()) != len(want) {
+			t.Fatalf("step %d: %d members, %d names, want %d", step, table.Len(), len(table.ids), len(want))
+		}
+	}
+}
+
+// BenchmarkList is what a list event costs the table: one change, or the whole list again.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		var all []discovery.Member
+		for i := range n {
+			m := ready(fmt.Sprint("server-", i))
+			m.Locality, m.Flavor = "a", "m1"
+			all = append(all, m)
+		}
+		for name, c := range map[string]struct {
+			mode    grebefork.ListMode
+			members []discovery.Member
+		}{"change": {grebefork.ListDelta, all[:1]}, "whole": {grebefork.ListFull, all}} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				set := &settings.Settings{Zones: []string{"a"}, Kinds: []string{"m1"}}
+				table := New()
+				table.Forget(grebefork.ListFull, table.Entries(set, all))
+				b.ReportAllocs()
+				for b.Loop() {
+					table.Forget(c.mode, table.Entries(set, c.members))
+				}
+			})
+		}
+	}
+}
