--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -34,6 +34,38 @@
  "settings":{"categories":[{"name":"c","aim":100,"deadline":200,"credit":1,"effect":"pure"}],"replicasOfMe":1,
   "limits":{"maxAttempts":%d,"connectTimeout":100},"rules":{"coldFrom":0.5,"overloadFactor":2}}}`
 
+// The agent is made of the standard library and this module.
+func TestDependencies(t *testing.T) {
+	const module = "example.org/grebefork"
+	cmd := exec.CommandContext(t.Context(), "go", "list", "-deps", "-f", `{{.ImportPath}} {{.Standard}}{{range .Imports}} {{.}}{{end}}`, module+"/cmd/micaline")
+	var stderr bytes.Buffer
+	cmd.Stderr = &stderr
+	out, err := cmd.Output()
+	if err != nil {
+		t.Fatalf("%v: %s", err, &stderr)
+	}
+	foreign, importers, own := []string{}, map[string][]string{}, 0
+	for line := range strings.Lines(string(out)) {
+		fields := strings.Fields(line)
+		path, standard := fields[0], fields[1] == "true"
+		for _, imported := range fields[2:] {
+			importers[imported] = append(importers[imported], path)
+		}
+		switch {
+		case path == module || strings.HasPrefix(path, module+"/"):
+			own++
+		case !standard:
+			foreign = append(foreign, path)
+		}
+	}
+	if own < 2 {
+		t.Fatalf("%d packages of this module in\n%s", own, out)
+	}
+	for _, path := range foreign {
+		t.Errorf("%s is imported by %s", path, strings.Join(importers[path], ", "))
+	}
+}
+
 // program prepares the program and returns the path of its configuration file too.
 func program(t *testing.T, configuration string) (cmd *exec.Cmd, stderr io.ReadCloser, path string) {
 	t.Helper()
