Read, check and override the scenarios of scale runs

Cause: the scale run's parts need one reading of a scenario, with errors that name the field. Change: Load and Parse (strict TOML over defaults in one place), Validate, Override by pointers, so that 0 can be said, Agents, ChangesPerMinute, EventEnd. New keys fleet.drain_s and fleet.boot_s: how long a planned leave takes has to be stated, since agents have up to 6 s to hear of it. The front needs a service of its own, so services must be one more than the depth at least. Measured: go test -race ./internal/scale/scenario passes, 39 refusals and 8 overrides in tables.

--- /dev/null
+++ b/internal/scale/scenario/load.go
@@ -0,0 +1,136 @@
+package scenario
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// defaults is what holds where a file says nothing. A file has to give its name, its sizes, its calls and its length.
+func defaults() Scenario {
+	return Scenario{
+		Seed: 1,
+		Fleet: Fleet{
+			Regions: 1, Zones: 1, Racks: 1,
+			ServiceMS: 4, Slots: 8, QueueSlots: 32,
+			NetworkMS: 0.15, CrossMS: 0.6, RegionMS: 3,
+			ColdFrom: 0.4, WarmS: 8,
+			DrainS: 6, BootS: 1,
+		},
+		Agent: Agent{
+			MemoryMB: 192, Sockets: 1024, MaxAttempts: 3,
+			RetryRatio: 0.1, RetryFloor: 3, RetryWindow: 10,
+			MustAskInS: 10,
+		},
+		Control: Control{Machines: 1, Parallel: 1, RefuseMS: 1000, Log: 256, NoticeMS: 500},
+		Budgets: Budgets{AddedSamples: 1000},
+	}
+}
+
+// defaultClasses holds where a file has no classes of its own.
+var defaultClasses = []Class{
+	{Name: "read", Share: 0.6, Effect: "pure", AimMS: 400, DeadlineMS: 2000, Worth: 1},
+	{Name: "keyed", Share: 0.3, Effect: "token", AimMS: 400, DeadlineMS: 2000, WindowMS: 30000, Worth: 2},
+	{Name: "once", Share: 0.1, Effect: "side_effect", AimMS: 400, DeadlineMS: 2000, Worth: 3},
+}
+
+// Load reads and checks a file. Its errors name the file, and the field that cannot be used.
+func Load(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the scenario: %w", err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the text of a file. A key that no field has is an error: misspelt, it would leave a default in force.
+func Parse(text []byte) (*Scenario, error) {
+	s := defaults()
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&s); err != nil {
+		return nil, readable(err)
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = append([]Class(nil), defaultClasses...)
+	}
+	return &s, s.Validate()
+}
+
+// readable names the keys and lines that the decoder's own errors keep apart from their words.
+func readable(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		var all []error
+		for i := range unknown.Errors {
+			line, _ := unknown.Errors[i].Position()
+			all = append(all, fmt.Errorf("%s: unknown key in line %d", strings.Join(unknown.Errors[i].Key(), "."), line))
+		}
+		return errors.Join(all...)
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		return fmt.Errorf("line %d, %s: %w", line, strings.Join(bad.Key(), "."), err)
+	}
+	return err
+}
+
+// Agents is how many agents the fleet has: as many as servers where the file leaves that open.
+func (s *Scenario) Agents() int {
+	if s.Fleet.Agents == 0 {
+		return s.Fleet.Servers
+	}
+	return s.Fleet.Agents
+}
+
+// ChangesPerMinute is how often the configuration changes by itself, as played.
+func (s *Scenario) ChangesPerMinute() float64 {
+	if s.Control.PerMinute > 0 {
+		return s.Control.PerMinute
+	}
+	return s.Control.ChangesDay / (24 * 60)
+}
+
+// Overrides take the place of what a file says. Nil leaves that as it is; a pointer to 0 is a 0.
+type Overrides struct {
+	Agents, Real, Servers, Services, Depth *int
+	Seed                                   *uint64
+	ChangesPerMinute                       *float64 // 0: no changes but those of events
+	Seconds                                *float64
+	CallsPerSecond                         *float64
+}
+
+// Override takes over what is not nil, and checks the whole. After an error the scenario is as it was.
+func (s *Scenario) Override(o Overrides) error {
+	next := *s
+	put(&next.Fleet.Agents, o.Agents)
+	put(&next.Fleet.Real, o.Real)
+	put(&next.Fleet.Servers, o.Servers)
+	put(&next.Fleet.Services, o.Services)
+	put(&next.Fleet.Depth, o.Depth)
+	put(&next.Fleet.CallsPerSecond, o.CallsPerSecond)
+	put(&next.Seed, o.Seed)
+	put(&next.Seconds, o.Seconds)
+	put(&next.Control.PerMinute, o.ChangesPerMinute)
+	if o.ChangesPerMinute != nil && *o.ChangesPerMinute == 0 {
+		next.Control.ChangesDay = 0 // or its mean would be played
+	}
+	if err := next.Validate(); err != nil {
+		return err
+	}
+	*s = next
+	return nil
+}
+
+func put[T any](field, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
--- a/internal/scale/scenario/scenario.go
+++ b/internal/scale/scenario/scenario.go
@@ -20,10 +20,10 @@
 type Fleet struct {
 	Servers        int     `toml:"servers"`
 	Services       int     `toml:"services"`
-	Agents         int     `toml:"agents"` // 0: one beside each server
+	Agents         int     `toml:"agents"` // 0: one beside each server; Scenario.Agents tells how many that are
 	Real           int     `toml:"real"`   // of the agents are processes of bin/micaline
 	Depth          int     `toml:"depth"`
-	CallsPerSecond float64 `toml:"calls_per_second"` // of all agents, at all depths
+	CallsPerSecond float64 `toml:"calls_per_second"` // of all agents, at all depths; calls of the modelled agents
 	Regions        int     `toml:"regions"`
 	Zones          int     `toml:"zones"`       // in all
 	Racks          int     `toml:"racks"`       // in each zone
@@ -36,6 +36,8 @@
 	RegionMS       float64 `toml:"region_ms"`   // one way between regions
 	ColdFrom       float64 `toml:"cold_from"`   // share of its speed that a server starts with
 	WarmS          float64 `toml:"warm_s"`
+	DrainS         float64 `toml:"drain_s"` // from a planned leave's line in the list to the end of the process
+	BootS          float64 `toml:"boot_s"`  // from there to the next process
 }
 
 // Agent is what each agent is granted and told.
@@ -98,11 +100,11 @@
 //
 //	config        a new configuration for every agent
 //	restart       Count agents start again, spread over ForS
-//	replace       Count servers drain and are replaced by new ids, spread over ForS
-//	release       Share of the servers drain and come back as new processes, spread over ForS
+//	replace       Count servers drain and are replaced by new ids; their leaving is spread over ForS
+//	release       Share of the servers drain and come back as new processes; their leaving is spread over ForS
 //	machine       Count servers vanish at once, and their agents with them, for ForS
-//	rack          the servers of rack Count of zone Zone vanish for ForS
-//	zone          the servers of zone Zone vanish for ForS and come back cold
+//	rack          the servers of rack Count of zone Zone vanish for ForS, and their agents with them
+//	zone          the servers of zone Zone vanish for ForS and come back cold, and their agents with them
 //	regions       the regions cannot reach each other for ForS; control is in region 0
 //	control-loss  control is down for ForS, and all agents come back to it
 //	agents-back   all agents start again at once, with no list
--- /dev/null
+++ b/internal/scale/scenario/scenario_test.go
@@ -0,0 +1,149 @@
+package scenario_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+// least is the shortest file that can be played.
+const least = `name = "t"
+seconds = 60
+[fleet]
+servers = 20
+services = 6
+depth = 3
+calls_per_second = 100
+`
+
+func TestDefaults(t *testing.T) {
+	s, err := scenario.Parse([]byte(least))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Seed != 1 || s.Agents() != 20 || s.Fleet.Zones != 1 || s.Control.Log == 0 || len(s.Classes) == 0 {
+		t.Errorf("left out: %+v", s)
+	}
+	own, err := scenario.Parse([]byte(least + "zones = 4\n[[classes]]\nname=\"x\"\nshare=1\neffect=\"pure\"\naim_ms=1\ndeadline_ms=1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if own.Fleet.Zones != 4 || len(own.Classes) != 1 || own.Classes[0].Name != "x" {
+		t.Errorf("said: %+v", own)
+	}
+	if again, _ := scenario.Parse([]byte(least)); !reflect.DeepEqual(s, again) {
+		t.Error("one file's words came into another one's")
+	}
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	event := func(text string) string { return least + "regions = 2\nzones = 4\n[[events]]\n" + text }
+	for name, c := range map[string]struct{ text, want string }{
+		"no TOML":           {"name", "line 1"},
+		"unknown key":       {least + "deep = 3\n", "fleet.deep: unknown key in line 8"},
+		"unknown table":     {least + "[flet]\nservers = 3\n", "flet: unknown key"},
+		"two unknown":       {least + "a = 1\nb = 2\n", "fleet.b: unknown key in line 9"},
+		"wrong type":        {strings.Replace(least, "20", `"20"`, 1), "fleet.servers"},
+		"no name":           {strings.Replace(least, `"t"`, `""`, 1), "name: "},
+		"depth":             {strings.Replace(least, "depth = 3", "depth = 0", 1), "fleet.depth: must be 1 to 14, not 0"},
+		"depth left out":    {strings.Replace(least, "depth = 3", "", 1), "fleet.depth: must be 1 to 14, not 0"},
+		"no seconds":        {strings.Replace(least, "60", "0", 1), "seconds: must be above 0"},
+		"not a number":      {strings.Replace(least, "60", "nan", 1), "seconds: must be above 0"},
+		"many servers":      {strings.Replace(least, "20", "4097", 1), "fleet.servers: must be 1 to 4096, not 4097"},
+		"more services":     {strings.Replace(least, "20", "5", 1), "fleet.services: 6 services cannot have a server each of 5 (fleet.servers)"},
+		"fewer than layers": {strings.Replace(least, "depth = 3", "depth = 6", 1), "fleet.services: 6 services cannot fill the front and 6 layers behind it (fleet.depth)"},
+		"more real":         {least + "real = 21\n", "fleet.real: 21 of 20 agents (fleet.agents)"},
+		"many real":         {least + "agents = 500\nreal = 201\n", "fleet.real: must be 0 to 200, not 201"},
+		"zones":             {least + "zones = 3\nregions = 2\n", "fleet.zones: 3 zones cannot be shared out evenly among 2 regions (fleet.regions)"},
+		"cold":              {least + "cold_from = 0.0\n", "fleet.cold_from: must be above 0"},
+		"sockets":           {least + "[agent]\nsockets = 10\n", "agent.sockets: must be 128"},
+		"parallel":          {least + "[control]\nparallel = 0\n", "control.parallel: must be 1"},
+		"relays":            {least + "[relays]\nadmit_per_s = 2\n", "relays.count: is 0"},
+		"admit":             {least + "[relays]\ncount = 2\n", "relays.admit_per_s: must be above 0"},
+		"class effect":      {least + "[[classes]]\nname=\"a\"\nshare=1\naim_ms=1\ndeadline_ms=2\n", `classes[0].effect: "" is none of pure`},
+		"class deadline":    {least + "[[classes]]\nname=\"a\"\nshare=1\naim_ms=3\ndeadline_ms=2\neffect=\"pure\"\n", "classes[0].deadline_ms: must be 3 to"},
+		"class window":      {least + "[[classes]]\nname=\"a\"\nshare=1\naim_ms=1\ndeadline_ms=2\neffect=\"token\"\n", "classes[0].window_ms: must be above 0"},
+		"class shares":      {least + "[[classes]]\nname=\"a\"\nshare=0.5\naim_ms=1\ndeadline_ms=2\neffect=\"pure\"\n", "classes: the shares must make 1, not 0.5"},
+		"budget":            {least + "[budgets]\nin_force_s = -1.0\n", "budgets.in_force_s: must be 0 to"},
+		"event kind":        {event("kind=\"config\"\n[[events]]\nkind=\"config\"\n[[events]]\nkind=\"x\"\n"), `events[2].kind: "x" is unknown`},
+		"event late":        {event("kind=\"config\"\nat_s=61.0\n"), "events[0].at_s: must be 0 to 60, not 61"},
+		"event long":        {event("kind=\"control-loss\"\nat_s=30.0\nfor_s=31.0\n"), "events[0].at_s: the event lasts until 61 s, the run only until 60 (seconds)"},
+		"drains too long":   {event("kind=\"replace\"\nat_s=56.0\ncount=1\n"), "events[0].at_s: the event lasts until 63.5 s"},
+		"no length":         {event("kind=\"zone\"\n"), "events[0].for_s: must be above 0 for zone"},
+		"key of others":     {event("kind=\"config\"\ncount=3\n"), "events[0].count: means nothing for config"},
+		"no such zone":      {event("kind=\"zone\"\nfor_s=1.0\nzone=4\n"), "events[0].zone: must be 0 to 3, not 4"},
+		"no such rack":      {event("kind=\"rack\"\nfor_s=1.0\ncount=1\n"), "events[0].count: must be 0 to 0, not 1"},
+		"no servers":        {event("kind=\"machine\"\nfor_s=1.0\n"), "events[0].count: must be 1 to 20, not 0"},
+		"too many servers":  {event("kind=\"replace\"\ncount=21\n"), "events[0].count: must be 1 to 20, not 21"},
+		"too many agents":   {event("kind=\"restart\"\ncount=21\n"), "events[0].count: must be 1 to 20, not 21"},
+		"no share":          {event("kind=\"release\"\n"), "events[0].share: must be above 0"},
+		"one region":        {least + "[[events]]\nkind=\"regions\"\nfor_s=1.0\n", "events[0].kind: regions needs two of them, not 1 (fleet.regions)"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := scenario.Parse([]byte(c.text))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestOverride(t *testing.T) {
+	n := func(i int) *int { return &i }
+	f := func(v float64) *float64 { return &v }
+	seed := uint64(9)
+	for name, c := range map[string]struct {
+		o    scenario.Overrides
+		want string // of the error
+	}{
+		"nothing":       {o: scenario.Overrides{}},
+		"all":           {o: scenario.Overrides{Agents: n(7), Real: n(7), Servers: n(30), Services: n(30), Depth: n(14), Seed: &seed, Seconds: f(9), CallsPerSecond: f(1)}},
+		"none real":     {o: scenario.Overrides{Real: n(0)}},
+		"more agents":   {o: scenario.Overrides{Agents: n(4096)}},
+		"one layer":     {o: scenario.Overrides{Depth: n(1), Services: n(2), Servers: n(2), Real: n(0)}},
+		"more services": {scenario.Overrides{Services: n(21)}, "fleet.services: 21 services cannot have a server each of 20 (fleet.servers)"},
+		"shorter":       {scenario.Overrides{Seconds: f(4)}, "events[0].at_s: must be 0 to 4, not 5"},
+		"fewer servers": {scenario.Overrides{Servers: n(8)}, "events[0].count: must be 1 to 8, not 9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := scenario.Parse([]byte(least + "real = 2\n[control]\nchanges_day = 2880.0\n[[events]]\nkind=\"machine\"\ncount=9\nfor_s=1.0\nat_s=5.0\n"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.o.Servers != nil || c.o.Seconds != nil {
+				if c.want == "" {
+					s.Events = nil
+				}
+			}
+			before := *s
+			err = s.Override(c.o)
+			if c.want != "" {
+				if err == nil || !strings.Contains(err.Error(), c.want) {
+					t.Errorf("%v, want %q", err, c.want)
+				}
+				if !reflect.DeepEqual(*s, before) {
+					t.Error("a refused override was taken over in part")
+				}
+			} else if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestChangesPerMinute(t *testing.T) {
+	s, err := scenario.Parse([]byte(least + "[control]\nchanges_day = 2880.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.ChangesPerMinute(); got != 2 {
+		t.Errorf("%v a minute by the day's mean, want 2", got)
+	}
+	for _, want := range []float64{6, 0} {
+		if err := s.Override(scenario.Overrides{ChangesPerMinute: &want}); err != nil || s.ChangesPerMinute() != want {
+			t.Errorf("%v a minute, %v, want %v", s.ChangesPerMinute(), err, want)
+		}
+	}
+}
