Draw the fleet of a scenario, and the settings and configurations of its agents

Cause: every part of a scale run has to hold the same world without sending it about. Change: Draw by seed: services by size in layers behind a front (layer 0), calls one layer down in proportion to the callees' servers, 0.9 calls a request in the mean, roots scaled to the fleet's calls; LayerRates, ServiceRates, AgentOf, Position, Classes, Settings, Config, AddEcho. Ids are a permutation of position and generation, so that any process finds the server by id. Measured: go test -race ./internal/scale/world passes at 16 shapes; every agent's settings at 830 are taken by settings.Parse and grebefork.New. They have 1,901 bytes in the mean, 2,413 at most. Ruled out: edges that skip layers (depth would no longer tell a call's layer); drawing edges and then their chances (services were then called out of proportion to their servers); one front service (with services all alike its agents would begin 700 calls/s each).

--- /dev/null
+++ b/internal/scale/world/told.go
@@ -0,0 +1,204 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+// EchoService is the name of the service, and of its class, that AddEcho adds.
+const EchoService = "echo"
+
+// The echo class's times; its servers answer at once.
+const (
+	echoAimMS      = 250
+	echoDeadlineMS = 2000
+)
+
+// AddEcho adds one more service, pure and of layer 0, whose servers are real sockets: one at each address, in the zones
+// in turn. Every process of a run has to add the same ones, or they hold other worlds.
+func (w *World) AddEcho(addrs []string) {
+	class := max(0, slices.IndexFunc(w.Scenario.Classes, func(c scenario.Class) bool { return c.Effect == "pure" }))
+	w.Services = append(w.Services, Service{Name: EchoService, Class: class})
+	for i, addr := range addrs {
+		w.addServer(len(w.Services)-1, i%len(w.Zones), 0, 1)
+		w.Servers[len(w.Servers)-1].Addr = addr
+	}
+}
+
+// echo returns the position of the echo service, or -1.
+func (w *World) echo() int {
+	if last := len(w.Services) - 1; w.Services[last].Name == EchoService {
+		return last
+	}
+	return -1
+}
+
+// settingsText is what of the settings text the agents have a use for. Danger: it is handed to each agent at each change,
+// so what stands here is paid for as often as there are agents. At the target's sizes it has 1,901 bytes in the mean and
+// 2,413 at most, half of them the names of services; a test holds it below 3,000.
+type settingsText struct {
+	Categories   []category `json:"categories"`
+	Localities   []string   `json:"localities"`
+	Skus         []string   `json:"skus"`
+	ReplicasOfMe int        `json:"replicasOfMe"`
+	Rank         int        `json:"rank"`
+	Zone         int        `json:"zone"`
+	Discovery    string     `json:"discovery"`
+	Tick         float64    `json:"tick"`
+	Report       reportText `json:"report"`
+	Limits       limitsText `json:"limits"`
+	Rules        rulesText  `json:"rules"`
+}
+
+// category is a class: the calls of one service. Times are in ms.
+type category struct {
+	Name         string  `json:"name"`
+	Aim          float64 `json:"aim"`
+	Deadline     float64 `json:"deadline"`
+	Credit       float64 `json:"credit"`
+	Effect       string  `json:"effect"`
+	RepeatWindow float64 `json:"repeatWindow,omitempty"`
+	BoundTo      []int   `json:"boundTo"`
+}
+
+type reportText struct {
+	Fields []string `json:"fields"`
+	How    string   `json:"how"`
+}
+
+type limitsText struct {
+	MaxAttempts    int     `json:"maxAttempts"`
+	Cancel         bool    `json:"cancel"`
+	SecondCopies   bool    `json:"secondCopies"`
+	RetryAfter     bool    `json:"retryAfter"`
+	ConnectTimeout float64 `json:"connectTimeout"`
+	IdleClose      float64 `json:"idleClose"`
+}
+
+type rulesText struct {
+	ColdFrom       float64 `json:"coldFrom"`
+	OverloadFactor float64 `json:"overloadFactor"`
+	WarmAfter      float64 `json:"warmAfter"`
+	DrainGrace     float64 `json:"drainGrace"`
+	MustAskIn      float64 `json:"mustAskIn"`
+	ResendRatio    float64 `json:"resendRatio"`
+	ExtraFloor     float64 `json:"extraFloor"`
+	ExtraWindow    float64 `json:"extraWindow"`
+}
+
+// Settings returns the settings text of an agent in the wording of a revision, which is another one for each revision
+// from 0 on. Once AddEcho was called, a real agent may call the echo service.
+func (w *World) Settings(agent int, revision int) []byte {
+	return encode(w.settings(agent, revision, w.Agents[agent].Real))
+}
+
+func (w *World) settings(agent, revision int, echo bool) settingsText {
+	s := w.Scenario
+	t := settingsText{
+		Localities: w.Zones, ReplicasOfMe: len(w.Agents), Rank: agent,
+		Zone: w.Servers[w.Agents[agent].Server].Zone, Discovery: "subscribe", Tick: 1,
+		Report: reportText{Fields: []string{"outstanding", "backlog", "recent_ms"}, How: "inline"},
+		Limits: limitsText{
+			MaxAttempts: s.Agent.MaxAttempts, Cancel: true, SecondCopies: true, RetryAfter: true,
+			ConnectTimeout: 250, IdleClose: 30000,
+		},
+		Rules: rulesText{
+			ColdFrom: s.Fleet.ColdFrom, OverloadFactor: 2, WarmAfter: s.Fleet.WarmS * 1000, DrainGrace: 300,
+			MustAskIn:   s.Agent.MustAskInS * 1000,
+			ResendRatio: s.Agent.RetryRatio, ExtraFloor: s.Agent.RetryFloor, ExtraWindow: s.Agent.RetryWindow * 1000,
+		},
+	}
+	for _, service := range w.Services {
+		t.Skus = append(t.Skus, service.Name)
+	}
+	for _, service := range w.Classes(agent, echo) {
+		t.Categories = append(t.Categories, w.category(service, revision))
+	}
+	return t
+}
+
+// Classes returns the services that an agent's classes stand for, in the order of its settings: those that its own one
+// calls, and the echo service if it may call that. Settings need a class, so one that calls nothing has its own.
+func (w *World) Classes(agent int, echo bool) (out []int) {
+	own := w.Servers[w.Agents[agent].Server].Service
+	for _, c := range w.Services[own].Calls {
+		out = append(out, c.Service)
+	}
+	if e := w.echo(); echo && e >= 0 {
+		out = append(out, e)
+	}
+	if len(out) == 0 {
+		out = append(out, own)
+	}
+	return out
+}
+
+// category words the class of a service. Each revision has deadlines that are a microsecond longer: another text, and
+// nothing that an agent would decide otherwise by.
+func (w *World) category(service, revision int) category {
+	s := &w.Services[service]
+	class := &w.Scenario.Classes[s.Class]
+	c := category{
+		Name: s.Name, Aim: class.AimMS, Deadline: class.DeadlineMS,
+		Credit: class.Worth, Effect: class.Effect, RepeatWindow: class.WindowMS, BoundTo: []int{service},
+	}
+	if service == w.echo() {
+		c.Aim, c.Deadline, c.Credit, c.Effect, c.RepeatWindow = echoAimMS, echoDeadlineMS, 1, "pure", 0
+	}
+	c.Deadline = math.Round(c.Deadline*1000+float64(revision)) / 1000
+	return c
+}
+
+// ConfigOptions are what a configuration says beside the settings.
+type ConfigOptions struct {
+	Listen, Discovery string   // host and port
+	Console           string   // the same; empty: none
+	Relays            []string // likewise
+	Revision          int      // of the settings
+	Known             []byte   // a whole list in discovery's form; nil: none
+	Echo              bool     // the agent may call the echo service, where there is one
+	Seed              uint64
+}
+
+// configText is the agent's configuration file.
+type configText struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Console   string          `json:"console,omitempty"`
+	Relays    []string        `json:"relays,omitempty"`
+	Seed      string          `json:"seed"`
+	Limits    grantText       `json:"limits"`
+	Known     json.RawMessage `json:"known,omitempty"`
+	Settings  settingsText    `json:"settings"`
+}
+
+type grantText struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config returns an agent's configuration as JSON. What of the options is no JSON or address is the caller's mistake: the
+// first panics, the second the agent refuses.
+func (w *World) Config(agent int, o ConfigOptions) []byte {
+	return encode(configText{
+		Name: w.Agents[agent].Name, Listen: o.Listen, Discovery: o.Discovery, Console: o.Console, Relays: o.Relays,
+		Seed:   fmt.Sprintf("%016x", o.Seed),
+		Limits: grantText{Cores: 1, MemoryMB: w.Scenario.Agent.MemoryMB, Sockets: w.Scenario.Agent.Sockets},
+		Known:  o.Known, Settings: w.settings(agent, o.Revision, o.Echo),
+	})
+}
+
+// encode words what is made of plain types here, which cannot fail but by a list of the caller's that is no JSON.
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- a/internal/scale/world/world.go
+++ b/internal/scale/world/world.go
@@ -9,12 +9,16 @@
 )
 
 // Service is one of the fleet's services. Its name is its servers' kind in lists and settings.
+//
+// Those of layer 0 are the front, where calls begin and which nobody calls: a root is one call of an agent beside a
+// front server, to one of the service's Calls, whose chances make 1. Services of layer d call those of layer d+1 only,
+// so that a call to layer d is d deep.
 type Service struct {
 	Name    string
 	Class   int           // position among the scenario's classes
-	Layer   int           // from 1: how deep below the root it stands
+	Layer   int           // how deep below the root it stands, from 1; 0: the front, and the echo service
 	Servers []int         // positions among the world's servers
-	Calls   []Call        // what one request of it calls, in turn
+	Calls   []Call        // what one request of it calls, in turn; of the front: what a root may call
 	Work    time.Duration // mean, at speed 1
 }
 
@@ -30,9 +34,9 @@
 	Addr    string // host and port; nobody listens there unless it is an echo server
 	Service int
 	Region  int
-	Zone    int // in all
-	Rack    int // in its zone
-	Speed   float64
+	Zone    int     // in all
+	Rack    int     // in its zone
+	Speed   float64 // as its size in lists
 	Slots   int
 	Start   time.Duration // Unix time of its process; 0 means long ago
 }
@@ -41,16 +45,18 @@
 type Agent struct {
 	Name   string
 	Server int     // its position
-	Roots  float64 // calls a second that begin here
+	Roots  float64 // calls a second that begin here; above 0 for the front's agents that are modelled
 	Real   bool
 }
 
-// World is what a scenario draws.
+// World is what a scenario draws. It is not changed but by AddEcho.
 type World struct {
 	Scenario *scenario.Scenario
 	Zones    []string
-	Services []Service // the last one is the echo service where there are echo servers
-	Servers  []Server
+	Services []Service // by layer; the last one is the echo service where there are echo servers
+	Servers  []Server  // one of each service first, by layer, then the others, then the echo servers
 	Agents   []Agent
-	Deepest  int // the service that the event fail hits
+	Deepest  int // the service that the event fail hits: the largest one of the deepest layer
+
+	caller []int // by server: the agent by which its requests call on; below 0: none
 }
--- /dev/null
+++ b/internal/scale/world/world_test.go
@@ -0,0 +1,303 @@
+package world_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/scale/scenario"
+	"example.org/grebefork/internal/scale/world"
+	"example.org/grebefork/internal/settings"
+)
+
+// fleet is a scenario of the size of the target, but for what a test changes.
+func fleet(t *testing.T, change func(*scenario.Scenario)) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse([]byte(`name = "t"
+seconds = 200
+[fleet]
+servers = 830
+services = 130
+real = 40
+depth = 14
+calls_per_second = 34000
+regions = 2
+zones = 8
+racks = 4
+uneven = 0.8
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(s)
+	}
+	return s
+}
+
+func draw(t *testing.T, s *scenario.Scenario) *world.World {
+	t.Helper()
+	w, err := world.Draw(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// shapes are sizes that a sweep may come to.
+var shapes = map[string]func(*scenario.Scenario){
+	"target":           nil,
+	"none real":        func(s *scenario.Scenario) { s.Fleet.Real = 0 },
+	"fewer agents":     func(s *scenario.Scenario) { s.Fleet.Agents = 200 },
+	"fewer yet":        func(s *scenario.Scenario) { s.Fleet.Agents, s.Fleet.Real = 9, 3 },
+	"one agent":        func(s *scenario.Scenario) { s.Fleet.Agents, s.Fleet.Real = 1, 0 },
+	"more agents":      func(s *scenario.Scenario) { s.Fleet.Agents = 2000 },
+	"one layer":        func(s *scenario.Scenario) { s.Fleet.Depth = 1 },
+	"service each":     func(s *scenario.Scenario) { s.Fleet.Services, s.Fleet.Servers = 300, 300 },
+	"layer each":       func(s *scenario.Scenario) { s.Fleet.Services = 15 },
+	"smallest":         func(s *scenario.Scenario) { s.Fleet = small(s.Fleet, 2, 2, 1) },
+	"small":            func(s *scenario.Scenario) { s.Fleet = small(s.Fleet, 16, 4, 3) },
+	"all alike":        func(s *scenario.Scenario) { s.Fleet.Uneven = 0 },
+	"very uneven":      func(s *scenario.Scenario) { s.Fleet.Uneven = 3 },
+	"one zone":         func(s *scenario.Scenario) { s.Fleet.Zones, s.Fleet.Regions = 1, 1 },
+	"largest":          func(s *scenario.Scenario) { s.Fleet.Servers, s.Fleet.Services = 4096, 1024 },
+	"all but one real": func(s *scenario.Scenario) { s.Fleet = small(s.Fleet, 16, 4, 3); s.Fleet.Real = 15 },
+}
+
+func small(f scenario.Fleet, servers, services, depth int) scenario.Fleet {
+	f.Servers, f.Services, f.Depth, f.Real = servers, services, depth, 0
+	return f
+}
+
+func TestDraw(t *testing.T) {
+	for name, change := range shapes {
+		t.Run(name, func(t *testing.T) {
+			s := fleet(t, change)
+			w := draw(t, s)
+			checkServices(t, w)
+			checkServers(t, w)
+			checkAgents(t, w)
+			rates := w.LayerRates()
+			total := 0.0
+			for _, rate := range rates {
+				total += rate
+			}
+			if len(rates) != s.Fleet.Depth || math.Abs(total/s.Fleet.CallsPerSecond-1) > 1e-9 {
+				t.Errorf("%v calls a second in %d layers, want %v", total, len(rates), s.Fleet.CallsPerSecond)
+			}
+			if again := draw(t, fleet(t, change)); !reflect.DeepEqual(w, again) {
+				t.Error("the same scenario drew another world")
+			}
+		})
+	}
+}
+
+// checkServices wants the sizes to make the fleet, calls to lead one layer down, and one path of the full depth.
+func checkServices(t *testing.T, w *world.World) {
+	t.Helper()
+	f := &w.Scenario.Fleet
+	servers, deepest, called := 0, make([]int, len(w.Services)), make([]bool, len(w.Services))
+	for i, s := range w.Services {
+		servers += len(s.Servers)
+		if len(s.Servers) < 1 || s.Work <= 0 || s.Layer > 0 && !called[i] {
+			t.Errorf("%s has %d servers, works %v, is called %v", s.Name, len(s.Servers), s.Work, called[i])
+		}
+		chances := 0.0
+		for _, c := range s.Calls {
+			called[c.Service] = true
+			deepest[c.Service] = max(deepest[c.Service], deepest[i]+1)
+			chances += c.Chance
+			if w.Services[c.Service].Layer != s.Layer+1 || !(c.Chance > 0 && c.Chance <= 1) {
+				t.Errorf("%s of layer %d calls %+v", s.Name, s.Layer, c)
+			}
+		}
+		if s.Layer == 0 && math.Abs(chances-1) > 1e-9 || s.Layer < f.Depth && chances == 0 {
+			t.Errorf("%s of layer %d calls %v in the mean", s.Name, s.Layer, chances)
+		}
+	}
+	if servers != f.Servers || len(w.Services) != f.Services || deepest[w.Deepest] != f.Depth {
+		t.Errorf("%d servers in %d services, the deepest one %d deep", servers, len(w.Services), deepest[w.Deepest])
+	}
+}
+
+func checkServers(t *testing.T, w *world.World) {
+	t.Helper()
+	f := &w.Scenario.Fleet
+	seen, zones := map[string]bool{}, map[int]int{}
+	for i, s := range w.Servers {
+		at, ok := w.Position(s.ID)
+		switch {
+		case seen[s.ID] || seen[s.Addr]:
+			t.Errorf("%s at %s is there twice", s.ID, s.Addr)
+		case !ok || at != i:
+			t.Errorf("%s is found at %d, %v, want %d", s.ID, at, ok, i)
+		case s.Zone >= f.Zones || s.Region != s.Zone/(f.Zones/f.Regions) || s.Rack >= f.Racks || s.Speed < 0.6 || s.Speed > 1.5:
+			t.Errorf("%+v", s)
+		}
+		seen[s.ID], seen[s.Addr] = true, true
+		zones[s.Zone]++
+	}
+	if len(w.Zones) != f.Zones || f.Servers > 500 && len(zones) != f.Zones {
+		t.Errorf("%d zones, servers in %v", len(w.Zones), zones)
+	}
+}
+
+func checkAgents(t *testing.T, w *world.World) {
+	t.Helper()
+	real := 0
+	for i, a := range w.Agents {
+		if a.Real {
+			real++
+		}
+		front := w.Services[w.Servers[a.Server].Service].Layer == 0
+		if a.Server != i%len(w.Servers) || (a.Roots > 0) != (front && !a.Real) {
+			t.Errorf("agent %d: %+v", i, a)
+		}
+	}
+	if real != w.Scenario.Fleet.Real || len(w.Agents) != w.Scenario.Agents() {
+		t.Errorf("%d of %d agents are real", real, len(w.Agents))
+	}
+	for i, s := range w.Servers {
+		if a := w.AgentOf(i); a >= 0 && (w.Agents[a].Real || w.Servers[w.Agents[a].Server].Service != s.Service) {
+			t.Errorf("server %d calls on by agent %d", i, a)
+		}
+	}
+}
+
+func TestSeedsDiffer(t *testing.T) {
+	a := draw(t, fleet(t, nil))
+	b := draw(t, fleet(t, func(s *scenario.Scenario) { s.Seed = 2 }))
+	if reflect.DeepEqual(a.Services, b.Services) || a.Servers[0].ID == b.Servers[0].ID {
+		t.Error("two seeds drew one world")
+	}
+}
+
+// With some agents real, the fleet that the others see is the same.
+func TestRealAgentsLeaveTheFleet(t *testing.T) {
+	a, b := draw(t, fleet(t, nil)), draw(t, fleet(t, shapes["none real"]))
+	if !reflect.DeepEqual(a.Servers, b.Servers) || !reflect.DeepEqual(a.Services, b.Services) {
+		t.Error("40 real agents changed the services or servers")
+	}
+}
+
+func TestAllReal(t *testing.T) {
+	w := draw(t, fleet(t, func(s *scenario.Scenario) { s.Fleet = small(s.Fleet, 16, 4, 3); s.Fleet.Real = 16 }))
+	if got := w.LayerRates(); !reflect.DeepEqual(got, []float64{0, 0, 0}) {
+		t.Errorf("%v calls a second with no modelled agent", got)
+	}
+}
+
+// Work at the target fits the servers: no service is asked for more than half of what it can do.
+func TestFleetCarriesItsCalls(t *testing.T) {
+	w := draw(t, fleet(t, nil))
+	mean, calls := 0.0, 0.0
+	for i, rate := range w.ServiceRates() {
+		s, room := w.Services[i], 0.0
+		for _, server := range s.Servers {
+			room += w.Servers[server].Speed * float64(w.Servers[server].Slots)
+		}
+		if use := rate * s.Work.Seconds() / room; use > 0.5 {
+			t.Errorf("%s is busy %.2f", s.Name, use)
+		}
+		mean, calls = mean+rate*s.Work.Seconds()*1000, calls+rate
+	}
+	if mean /= calls; math.Abs(mean-w.Scenario.Fleet.ServiceMS) > 1e-3 {
+		t.Errorf("calls work %v ms in the mean", mean)
+	}
+}
+
+// Each agent's text is one that an agent takes, and names the services that its own one calls.
+func TestSettings(t *testing.T) {
+	for name, change := range shapes {
+		t.Run(name, func(t *testing.T) {
+			w := draw(t, fleet(t, change))
+			w.AddEcho([]string{"127.0.0.1:1", "127.0.0.1:2"})
+			step := 1
+			if name != "target" {
+				step = max(1, len(w.Agents)/50)
+			}
+			for i := 0; i < len(w.Agents); i += step {
+				a, text := w.Agents[i], w.Settings(i, 3)
+				if len(text) > 3000 && name == "target" {
+					t.Errorf("agent %d: %d bytes", i, len(text))
+				}
+				got, err := settings.Parse(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := grebefork.New(got.Module, 1); err != nil {
+					t.Fatalf("agent %d: %v", i, err)
+				}
+				own := w.Services[w.Servers[a.Server].Service]
+				want := len(own.Calls)
+				if a.Real || want == 0 { // echo, or its own
+					want++
+				}
+				if len(got.Classes) != want {
+					t.Errorf("agent %d of %s has classes %v", i, own.Name, got.Classes)
+				}
+				for c, class := range got.Module.Classes {
+					if len(class.Kinds) != 1 || got.Kinds[class.Kinds[0]] != got.Classes[c] {
+						t.Errorf("agent %d: class %s is bound to %v", i, got.Classes[c], class.Kinds)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Every revision is another text, and every one of them can be taken.
+func TestRevisionsDiffer(t *testing.T) {
+	w := draw(t, fleet(t, nil))
+	seen := map[string]bool{}
+	for revision := range 3000 {
+		text := w.Settings(5, revision)
+		if seen[string(text)] {
+			t.Fatalf("revision %d has the text of an earlier one", revision)
+		}
+		seen[string(text)] = true
+	}
+}
+
+func TestConfig(t *testing.T) {
+	w := draw(t, fleet(t, nil))
+	w.AddEcho([]string{"127.0.0.1:1"})
+	o := world.ConfigOptions{Listen: "127.0.0.1:2", Discovery: "127.64.0.1:3", Seed: 1}
+	for name, c := range map[string]struct {
+		change func(*world.ConfigOptions)
+		keys   []string // beside those that are always there
+		echo   int
+	}{
+		"plain":  {change: func(*world.ConfigOptions) {}},
+		"relays": {change: func(o *world.ConfigOptions) { o.Relays = []string{"127.65.0.1:3"} }, keys: []string{"relays"}},
+		"known":  {change: func(o *world.ConfigOptions) { o.Known = []byte(`{"revision":1}`) }, keys: []string{"known"}},
+		"all": {change: func(o *world.ConfigOptions) {
+			o.Console, o.Echo = "127.0.0.1:4", true
+		}, keys: []string{"console"}, echo: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options := o
+			c.change(&options)
+			var got map[string]any
+			if err := json.Unmarshal(w.Config(7, options), &got); err != nil {
+				t.Fatal(err)
+			}
+			keys := append([]string{"name", "listen", "discovery", "seed", "limits", "settings"}, c.keys...)
+			for _, key := range keys {
+				if got[key] == nil {
+					t.Errorf("no %s", key)
+				}
+			}
+			if len(got) != len(keys) || got["seed"] != "0000000000000001" || got["name"] != "n7" {
+				t.Errorf("%v", got)
+			}
+			classes := got["settings"].(map[string]any)["categories"].([]any)
+			if want := len(w.Classes(7, false)) + c.echo; len(classes) != want {
+				t.Errorf("%d classes, want %d: %v", len(classes), want, fmt.Sprint(classes))
+			}
+		})
+	}
+}
