--- /dev/null
+++ b/internal/scale/world/members.go
@@ -0,0 +1,35 @@
+package world
+
+import (
+	"time"
+
+	"example.org/grebefork/internal/discovery"
+)
+
+// The phases of lists.
+const (
+	ready       = "Ready"
+	terminating = "Terminating"
+	gone        = "Gone"
+)
+
+// Members returns the whole list before any step: the servers whose processes had started at a time.
+func (w *World) Members(at time.Time) []discovery.Member {
+	out := make([]discovery.Member, 0, len(w.Servers))
+	for i := range w.Servers {
+		if m := w.member(i, ready); m.UpSince <= float64(at.UnixMilli()) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// member is a server's line in the list as it was drawn.
+func (w *World) member(server int, phase string) discovery.Member {
+	s := &w.Servers[server]
+	return discovery.Member{
+		ID: s.ID, HostPort: s.Addr, Locality: w.Zones[s.Zone], Flavor: w.Services[s.Service].Name,
+		Cell: s.Zone*w.Scenario.Fleet.Racks + s.Rack, Phase: phase, Size: s.Speed,
+		UpSince: float64(s.Start.Milliseconds()),
+	}
+}
--- a/internal/scale/world/world_test.go
+++ b/internal/scale/world/world_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"reflect"
 	"testing"
+	"time"
 
 	"example.org/grebefork"
 	"example.org/grebefork/internal/scale/scenario"
@@ -13,6 +14,9 @@
 	"example.org/grebefork/internal/settings"
 )
 
+// begin is when the measured parts of these runs begin.
+var begin = time.UnixMilli(1_750_000_000_000)
+
 // fleet is a scenario of the size of the target, but for what a test changes.
 func fleet(t *testing.T, change func(*scenario.Scenario)) *scenario.Scenario {
 	t.Helper()
