Expand the events of a scenario into the steps of a run

Cause: every part has to play the same events at the same times, and the list has to tell them as control would see them. Change: World.Steps: drains, ends, notices and new processes in waves; configurations counted up, by events and by themselves; the relay that is killed. A server that one event is not done with is left alone by later ones. Step.Silent is new beside the plan: a process that ends resets its connections, a machine that vanishes does not. Ruled out: lines merged over waves (each would hold what is not known yet); one step for each server (a release of 83 in 20 s would make 249 revisions, where those who roll out do it in waves).

--- /dev/null
+++ b/internal/scale/world/steps_test.go
@@ -0,0 +1,271 @@
+package world_test
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/scale/scenario"
+	"example.org/grebefork/internal/scale/world"
+)
+
+// plays are runs whose steps are followed below.
+func plays(t *testing.T) map[string]*scenario.Scenario {
+	t.Helper()
+	all := map[string]*scenario.Scenario{}
+	for _, name := range []string{"target", "small", "tiny"} {
+		s, err := scenario.Load("../../../deploy/scale/" + name + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[name] = s
+	}
+	all["none"] = fleet(t, nil)
+	all["on top of each other"] = fleet(t, func(s *scenario.Scenario) {
+		s.Fleet.BootS = 0
+		s.Relays = scenario.Relays{Count: 2, AdmitPerS: 10, KillAt: 20, RestartAfter: 5}
+		s.Events = []scenario.Event{
+			{Kind: "config", AtS: 11},
+			{Kind: "replace", AtS: 10, ForS: 30, Count: 830},
+			{Kind: "zone", AtS: 12, ForS: 5, Zone: 1},
+			{Kind: "agents-back", AtS: 13},
+			{Kind: "rack", AtS: 60, ForS: 0.2, Zone: 1, Count: 0},
+			{Kind: "zone", AtS: 60, ForS: 20, Zone: 1},
+			{Kind: "release", AtS: 61, ForS: 30, Share: 1},
+			{Kind: "replace", AtS: 120, Count: 830},
+			{Kind: "restart", AtS: 65, Count: 830},
+		}
+	})
+	return all
+}
+
+func TestSteps(t *testing.T) {
+	for name, s := range plays(t) {
+		t.Run(name, func(t *testing.T) {
+			w := draw(t, s)
+			w.AddEcho([]string{"127.0.0.1:1"})
+			steps := w.Steps(begin)
+			if again := w.Steps(begin); !reflect.DeepEqual(steps, again) {
+				t.Error("the same call had another answer")
+			}
+			checkOrder(t, s, steps)
+			checkLists(t, w, steps)
+			checkProcesses(t, w, steps)
+			checkSwitches(t, steps)
+		})
+	}
+}
+
+// checkOrder wants steps by time and within the run, each event begun and ended once, and configurations counted up.
+func checkOrder(t *testing.T, s *scenario.Scenario, steps []world.Step) {
+	t.Helper()
+	begun, ended := make([]int, len(s.Events)), make([]int, len(s.Events))
+	configs, at := 0, time.Duration(0)
+	for _, step := range steps {
+		if step.At < at || step.At.Seconds() > s.Seconds {
+			t.Errorf("%+v at %v after %v", step, step.At, at)
+		}
+		at = step.At
+		if step.Config > 0 {
+			if configs++; step.Config != configs {
+				t.Errorf("configuration %d, want %d", step.Config, configs)
+			}
+		}
+		if step.Event < 0 {
+			if step.Begins || step.Ends {
+				t.Errorf("no event, but %+v", step)
+			}
+			continue
+		}
+		e := step.Event
+		if step.Begins {
+			begun[e]++
+		}
+		if begun[e] != 1 || ended[e] != 0 {
+			t.Errorf("event %d has a step at %v, outside of it", e, step.At)
+		}
+		if step.Ends {
+			ended[e]++
+		}
+	}
+	want := int(s.ChangesPerMinute()*s.Seconds/60 + 0.5)
+	for i, e := range s.Events {
+		if begun[i] != 1 || ended[i] != 1 {
+			t.Errorf("event %d begins %d times and ends %d times", i, begun[i], ended[i])
+		}
+		if e.Kind == "config" {
+			want++
+		}
+	}
+	if configs != want {
+		t.Errorf("%d configurations, want %d", configs, want)
+	}
+}
+
+// checkLists follows the list: what leaves drains first or vanishes, ids are never used again, what is back has started anew.
+func checkLists(t *testing.T, w *world.World, steps []world.Step) {
+	t.Helper()
+	list := map[string]discovery.Member{}
+	for _, m := range w.Members(begin) {
+		list[m.ID] = m
+	}
+	if len(list) != len(w.Servers) {
+		t.Fatalf("%d lines for %d servers", len(list), len(w.Servers))
+	}
+	addrs := map[string]string{}
+	for _, step := range steps {
+		for _, m := range step.Changes {
+			old, known := list[m.ID]
+			position, ok := w.Position(m.ID)
+			switch {
+			case !ok || m.Flavor != w.Services[w.Servers[position].Service].Name:
+				t.Fatalf("%+v is at %d, %v", m, position, ok)
+			case addrs[m.HostPort] != "" && addrs[m.HostPort] != m.ID:
+				t.Fatalf("%+v has the address of %s", m, addrs[m.HostPort])
+			case m.Phase == "Terminating" && old.Phase != "Ready", m.Phase == "Gone" && old.Phase != "Ready" && old.Phase != "Terminating",
+				m.Phase == "Ready" && known && (old.Phase != "Gone" || m.UpSince <= old.UpSince):
+				t.Fatalf("%+v after %+v", m, old)
+			case m.Phase == "Ready" && known == (w.Scenario.Events[step.Event].Kind == "replace"):
+				t.Fatalf("%+v comes back by %+v, known %v", m, w.Scenario.Events[step.Event], known)
+			case m.Phase == "Ready" && !(m.UpSince >= float64(begin.UnixMilli()) && m.UpSince <= float64(begin.Add(step.At).UnixMilli())):
+				t.Fatalf("%+v, listed at %v", m, step.At)
+			}
+			addrs[m.HostPort], list[m.ID] = m.ID, m
+		}
+	}
+	ready := 0
+	for _, m := range list {
+		if m.Phase == "Ready" {
+			ready++
+		}
+	}
+	if ready != len(w.Servers) {
+		t.Errorf("%d of %d servers are listed at the end", ready, len(w.Servers))
+	}
+}
+
+// checkProcesses wants each server down and up in turn, back within the run, and never listed as ready while it is down.
+func checkProcesses(t *testing.T, w *world.World, steps []world.Step) {
+	t.Helper()
+	down := make([]bool, len(w.Servers))
+	for _, step := range steps {
+		for _, i := range step.Down {
+			if down[i] {
+				t.Errorf("server %d ends twice, at %v", i, step.At)
+			}
+			down[i] = true
+		}
+		for _, i := range step.Up {
+			if !down[i] || !step.Cold {
+				t.Errorf("server %d starts at %v, cold %v", i, step.At, step.Cold)
+			}
+			down[i] = false
+		}
+		for _, m := range step.Changes {
+			if i, _ := w.Position(m.ID); m.Phase == "Ready" && down[i] {
+				t.Errorf("server %d is ready and down at %v", i, step.At)
+			}
+		}
+		for _, a := range step.Restart {
+			if len(step.Up) > 0 && !slices.Contains(step.Up, w.Agents[a].Server) {
+				t.Errorf("agent %d comes back without its machine", a)
+			}
+		}
+	}
+	if slices.Contains(down, true) {
+		t.Errorf("down at the end: %v", down)
+	}
+}
+
+// checkSwitches wants what is turned on to be turned off.
+func checkSwitches(t *testing.T, steps []world.Step) {
+	t.Helper()
+	var cut, fail, loss bool
+	for _, step := range steps {
+		for is, to := range map[*bool]*bool{&cut: step.CutRegions, &fail: step.Fail, &loss: step.ControlDown} {
+			if to != nil {
+				if *is == *to {
+					t.Errorf("turned %v twice, at %v", *to, step.At)
+				}
+				*is = *to
+			}
+		}
+	}
+	if cut || fail || loss {
+		t.Errorf("left on: regions %v, fail %v, control %v", cut, fail, loss)
+	}
+}
+
+// What the kinds of events come to, in one small fleet.
+func TestKinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		event scenario.Event
+		want  []world.Step // their times, counts and switches
+	}{
+		"config": {scenario.Event{Kind: "config", AtS: 1}, []world.Step{{At: time.Second, Config: 1}}},
+		"restart": {scenario.Event{Kind: "restart", AtS: 1, ForS: 4, Count: 2}, []world.Step{
+			{At: time.Second, Restart: make([]int, 1)}, {At: 3 * time.Second, Restart: make([]int, 1)}}},
+		"agents-back": {scenario.Event{Kind: "agents-back", AtS: 1}, []world.Step{{At: time.Second, Restart: make([]int, 16), Forget: true}}},
+		"replace": {scenario.Event{Kind: "replace", AtS: 1, Count: 3}, []world.Step{
+			{At: time.Second, Changes: make([]discovery.Member, 3)},
+			{At: 7 * time.Second, Down: make([]int, 3)},
+			{At: 7500 * time.Millisecond, Changes: make([]discovery.Member, 3)},
+			{At: 8 * time.Second, Up: make([]int, 3), Cold: true},
+			{At: 8500 * time.Millisecond, Changes: make([]discovery.Member, 3)}}},
+		"machine": {scenario.Event{Kind: "machine", AtS: 1, ForS: 2, Count: 2}, []world.Step{
+			{At: time.Second, Down: make([]int, 2), Silent: true},
+			{At: 1500 * time.Millisecond, Changes: make([]discovery.Member, 2)},
+			{At: 3 * time.Second, Up: make([]int, 2), Cold: true, Restart: make([]int, 2)},
+			{At: 3500 * time.Millisecond, Changes: make([]discovery.Member, 2)}}},
+		"control-loss": {scenario.Event{Kind: "control-loss", AtS: 1, ForS: 2}, []world.Step{
+			{At: time.Second, ControlDown: new(bool)}, {At: 3 * time.Second, ControlDown: new(bool)}}},
+		"regions": {scenario.Event{Kind: "regions", AtS: 1, ForS: 2}, []world.Step{
+			{At: time.Second, CutRegions: new(bool)}, {At: 3 * time.Second, CutRegions: new(bool)}}},
+		"fail": {scenario.Event{Kind: "fail", AtS: 1, ForS: 2}, []world.Step{
+			{At: time.Second, Fail: new(bool)}, {At: 3 * time.Second, Fail: new(bool)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := fleet(t, func(s *scenario.Scenario) {
+				s.Fleet = small(s.Fleet, 16, 4, 3)
+				s.Events = []scenario.Event{c.event}
+			})
+			got := draw(t, s).Steps(begin)
+			if len(got) != len(c.want) {
+				t.Fatalf("%d steps, want %d: %+v", len(got), len(c.want), got)
+			}
+			for i, step := range got {
+				if want := c.want[i]; !reflect.DeepEqual(outline(step), outline(want)) {
+					t.Errorf("step %d: %+v, want %+v", i, step, want)
+				}
+			}
+		})
+	}
+}
+
+// outline is what TestKinds compares of a step.
+func outline(s world.Step) []any {
+	return []any{s.At, s.Config, len(s.Changes), len(s.Down), s.Silent, len(s.Up), s.Cold, len(s.Restart), s.Forget,
+		s.CutRegions != nil, s.Fail != nil, s.ControlDown != nil}
+}
+
+// A whole rack or zone vanishes, and nothing beside it.
+func TestVanishTogether(t *testing.T) {
+	for name, e := range map[string]scenario.Event{
+		"rack": {Kind: "rack", AtS: 1, ForS: 2, Zone: 3, Count: 2},
+		"zone": {Kind: "zone", AtS: 1, ForS: 2, Zone: 3},
+	} {
+		w := draw(t, fleet(t, func(s *scenario.Scenario) { s.Events = []scenario.Event{e} }))
+		var want []int
+		for i, s := range w.Servers {
+			if s.Zone == 3 && (name == "zone" || s.Rack == 2) {
+				want = append(want, i)
+			}
+		}
+		steps := w.Steps(begin)
+		if len(want) == 0 || !slices.Equal(steps[0].Down, want) || !slices.Equal(steps[2].Restart, want) {
+			t.Errorf("%s: %v vanish, want %v; agents %v come back", name, steps[0].Down, want, steps[2].Restart)
+		}
+	}
+}
