Serve the list from a store that encodes each answer once

Cause: what control, and later a relay of lists, costs at 830 agents depends on how often one change is encoded and copied; a server that does either for each watch would measure itself, not the protocol. Change: internal/lists. A Store holds the whole list, a log of changes bounded in revisions and in entries, and the encoded answers of the newest revision, shared by all who ask the same. A Server answers watches from it, over one http.Server for any number of agents' listeners, bounded in headers, header time, time for the answer to be taken, idle time, calls and connections of one agent. A Gate charges and refuses calls; an unknown parameter gets 400, for a misspelt wait would be a watch that never waits. Ruled out: keeping each entry's text and joining them: encoding 1,024 entries is needed once a revision at most. Answering with what is newest after the gate instead of before it: it would write lines that nobody paid for.

--- /dev/null
+++ b/internal/lists/encode.go
@@ -0,0 +1,62 @@
+package lists
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"example.org/grebefork/internal/discovery"
+)
+
+// lineBytes is about what an entry takes as text.
+const lineBytes = 160
+
+// Encode writes a list, or changes of one, as discovery answers it. Figures that JSON cannot hold become 0, which stands
+// for unknown.
+func Encode(revision uint64, complete bool, members []discovery.Member) []byte {
+	b := make([]byte, 0, 64+lineBytes*len(members))
+	b = append(b, `{"revision":`...)
+	b = strconv.AppendUint(b, revision, 10)
+	b = append(b, `,"complete":`...)
+	b = strconv.AppendBool(b, complete)
+	b = append(b, `,"members":[`...)
+	for i := range members {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendMember(b, &members[i])
+	}
+	return append(b, `]}`...)
+}
+
+func appendMember(b []byte, m *discovery.Member) []byte {
+	b = appendString(append(b, `{"id":`...), m.ID)
+	b = appendString(append(b, `,"host_port":`...), m.HostPort)
+	b = appendString(append(b, `,"locality":`...), m.Locality)
+	b = appendString(append(b, `,"flavor":`...), m.Flavor)
+	b = strconv.AppendInt(append(b, `,"cell":`...), int64(m.Cell), 10)
+	b = appendString(append(b, `,"phase":`...), m.Phase)
+	b = appendNumber(append(b, `,"size":`...), m.Size)
+	b = appendNumber(append(b, `,"up_since_ms":`...), m.UpSince)
+	return append(b, '}')
+}
+
+func appendNumber(b []byte, v float64) []byte {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		v = 0
+	}
+	return strconv.AppendFloat(b, v, 'f', -1, 64)
+}
+
+// appendString quotes a string. Names and addresses are plain; any other is left to the library.
+func appendString(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			quoted, _ := json.Marshal(s) // any string can be encoded
+			return append(b, quoted...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
--- /dev/null
+++ b/internal/lists/listener_test.go
@@ -0,0 +1,223 @@
+package lists
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// serve starts a server for agent 0 at a socket of its own.
+func serve(t *testing.T, s *Server) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Log = slog.New(slog.DiscardHandler)
+	h := s.HTTP()
+	go h.Serve(s.Listener(l, 0))
+	t.Cleanup(func() { h.Close() })
+	return l.Addr().String()
+}
+
+// ask writes a request and reads the answer's head and body.
+func ask(t *testing.T, c net.Conn, request string) (*http.Response, []byte) {
+	t.Helper()
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, text
+}
+
+const plain = "GET " + Path + " HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// A list as long as an agent takes comes whole.
+func TestLargestList(t *testing.T) {
+	s := &Server{Store: NewStore(8)}
+	s.Store.Reset(1, ready(30000))
+	want := s.Store.Since(0, false)
+	if n := len(want.Text); n > 4<<20 || n < 4<<20-128<<10 {
+		t.Fatalf("the list has %d bytes", n)
+	}
+	c, err := net.Dial("tcp", serve(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 2 { // on the same connection
+		if resp, text := ask(t, c, plain); resp.StatusCode != 200 || string(text) != string(want.Text) {
+			t.Errorf("%s, %d bytes of %d", resp.Status, len(text), len(want.Text))
+		}
+	}
+}
+
+// Connections beyond the limit are closed; one that ends makes room.
+func TestFewConnections(t *testing.T) {
+	s := &Server{Store: NewStore(8), Conns: 2}
+	s.Store.Reset(1, ready(1))
+	addr := serve(t, s)
+	var open []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		ask(t, c, plain)
+		open = append(open, c)
+	}
+	more, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer more.Close()
+	if n, err := more.Read(make([]byte, 1)); err == nil {
+		t.Errorf("the third connection gets %d bytes", n)
+	}
+	// The server closes this one itself, once it has answered.
+	ask(t, open[0], strings.Replace(plain, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+	if _, err := open[0].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the first connection ends with %v", err)
+	}
+	next, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if resp, _ := ask(t, next, plain); resp.StatusCode != 200 {
+		t.Errorf("the connection in its place: %s", resp.Status)
+	}
+}
+
+// A body that is announced and never sent does not hold the connection.
+func TestBodyNeverSent(t *testing.T) {
+	s := &Server{Store: NewStore(8)}
+	s.Store.Reset(1, ready(1))
+	c, err := net.Dial("tcp", serve(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	resp, text := ask(t, c, "GET "+Path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n")
+	if resp.StatusCode != 400 || !strings.Contains(string(text), "body") || !resp.Close {
+		t.Errorf("%s %s, closes %v", resp.Status, text, resp.Close)
+	}
+}
+
+func TestLongHeader(t *testing.T) {
+	s := &Server{Store: NewStore(8)}
+	s.Store.Reset(1, ready(1))
+	c, err := net.Dial("tcp", serve(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	long := strings.Replace(plain, "Host: x", "Host: x\r\nX: "+strings.Repeat("x", 2*maxHeader), 1)
+	if _, err := io.WriteString(c, long); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil) // its body ends in a reset, with the rest of the headers unread
+	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("%+v, %v", resp, err)
+	}
+}
+
+// pipes is a listener whose connections are pipes, which keep the time of a bubble.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p pipes) Close() error   { close(p.done); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Who does not send its headers, does not take its answer or makes no calls loses its connection.
+func TestSlowCallers(t *testing.T) {
+	for _, c := range []struct {
+		name, send string
+		read       bool
+		want       time.Duration
+	}{
+		{"no headers", "", true, headerGrace},
+		{"half the headers", plain[:20], true, headerGrace},
+		{"the answer is not read", plain, false, writeGrace},
+		{"no further call", plain, true, idleGrace},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{Store: NewStore(8), Log: slog.New(slog.DiscardHandler)}
+				s.Store.Reset(1, ready(100))
+				p := pipes{make(chan net.Conn), make(chan struct{})}
+				h := s.HTTP()
+				go h.Serve(s.Listener(p, 0))
+				near, far := net.Pipe()
+				p.conns <- far
+				began := time.Now()
+				if _, err := io.WriteString(near, c.send); err != nil {
+					t.Fatal(err)
+				}
+				if !c.read {
+					time.Sleep(c.want) // of the bubble's clock
+				}
+				n, err := io.Copy(io.Discard, near)
+				if took := time.Since(began); took != c.want || err != nil {
+					t.Errorf("closed after %v and %d bytes, %v; want %v", took, n, err, c.want)
+				}
+				near.Close()
+				h.Close()
+			})
+		})
+	}
+}
+
+// One server tells its listeners' agents apart.
+func TestListenersOfOneServer(t *testing.T) {
+	heard := make(chan string, 1)
+	s := &Server{Store: NewStore(8), Log: slog.New(slog.DiscardHandler), Heard: func(agent int, revision uint64, _ time.Time) {
+		heard <- fmt.Sprint(agent, " ", revision)
+	}}
+	s.Store.Reset(5, ready(1))
+	h := s.HTTP()
+	defer h.Close()
+	for _, agent := range []int{0, 7, 829} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go h.Serve(s.Listener(l, agent))
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ask(t, c, strings.Replace(plain, Path, Path+"?after=5", 1))
+		c.Close()
+		if got := <-heard; got != fmt.Sprint(agent, " 5") {
+			t.Errorf("agent %d is heard as %s", agent, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lists/server_test.go
@@ -0,0 +1,354 @@
+package lists
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/grebefork/internal/discovery"
+)
+
+// get makes one call of a handler and returns its answer.
+func get(h http.Handler, query string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+query, nil))
+	return w
+}
+
+func TestRequests(t *testing.T) {
+	s := &Server{Store: NewStore(8)}
+	s.Store.Reset(41, ready(2))
+	for _, c := range []struct {
+		method, target, body string
+		status               int
+		names                string // in the answer
+	}{
+		{"GET", Path, "", 200, `"revision":41,"complete":true`},
+		{"GET", Path + "?after=41", "", 200, `"revision":41,"complete":false,"members":[]`},
+		{"GET", Path + "?after=41&wait_ms=0", "", 200, `"revision":41,"complete":false`},
+		{"GET", Path + "?wait_ms=20000", "", 200, `"revision":41,"complete":true`},
+		{"GET", Path + "?after=99&wait_ms=20000", "", 200, `"revision":41,"complete":true`},
+		{"GET", Path + "?after=", "", 400, "after"},
+		{"GET", Path + "?after=-1", "", 400, "after"},
+		{"GET", Path + "?after=4e1", "", 400, "after"},
+		{"GET", Path + "?after=99999999999999999999", "", 400, "after"},
+		{"GET", Path + "?after=41&after=41", "", 400, "after"},
+		{"GET", Path + "?after=41&wait_ms=1.5", "", 400, "wait_ms"},
+		{"GET", Path + "?after=41&wait_ms=soon", "", 400, "wait_ms"},
+		{"GET", Path + "?after=41&wait=20000", "", 400, `"wait"`},
+		{"GET", Path + "?after=%zz", "", 400, "query"},
+		{"GET", Path + "?after=41;wait_ms=0", "", 400, "query"},
+		{"GET", Path, "text", 400, "body"},
+		{"HEAD", Path, "", 405, ""},
+		{"POST", Path, "", 405, "only GET"},
+		{"DELETE", Path, "", 405, "only GET"},
+		{"GET", Path + "/", "", 404, ""},
+		{"GET", "/", "", 404, ""},
+		{"POST", "/discovery", "", 404, ""},
+	} {
+		t.Run(c.method+" "+c.target, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(c.method, c.target, strings.NewReader(c.body))
+			s.Handler(0).ServeHTTP(w, r)
+			if w.Code != c.status || !strings.Contains(w.Body.String(), c.names) {
+				t.Errorf("%d %s, want %d with %s", w.Code, w.Body, c.status, c.names)
+			}
+			if allow := w.Header().Get("Allow"); (allow == "GET") != (c.status == 405) {
+				t.Errorf("Allow: %q", allow)
+			}
+		})
+	}
+}
+
+// Without a list there is no answer that an agent could take for one.
+func TestNoList(t *testing.T) {
+	s := &Server{Store: NewStore(8)}
+	for _, query := range []string{"", "?after=0", "?after=3&wait_ms=1000"} {
+		if w := get(s.Handler(0), query); w.Code != 503 {
+			t.Errorf("%q: %d %s", query, w.Code, w.Body)
+		}
+	}
+}
+
+// A watch ends with the first change, or when its time is over, or at once if there is something to tell.
+func TestWatch(t *testing.T) {
+	list := step{true, 10, "a:Ready b:Ready"}
+	drain, leave := step{false, 11, "b:Terminating"}, step{false, 12, "b:Gone c:Ready"}
+	for _, c := range []struct {
+		name    string
+		before  []step
+		query   string
+		at      time.Duration // when the first of these is played, and each next one right after
+		changes []step
+		took    time.Duration
+		want    string
+	}{
+		{"nothing", []step{list}, "?after=10&wait_ms=20000", 0, nil, 20 * time.Second, `10 false `},
+		{"no wait", []step{list}, "?after=10&wait_ms=0", time.Second, []step{drain}, 0, `10 false `},
+		{"over a minute", []step{list}, "?after=10&wait_ms=90000", 0, nil, time.Minute, `10 false `},
+		{"far over", []step{list}, "?after=10&wait_ms=18446744073709551615", 0, nil, time.Minute, `10 false `},
+		{"a change", []step{list}, "?after=10&wait_ms=20000", 5 * time.Second, []step{drain}, 5 * time.Second, `11 false b:Terminating`},
+		{"two at once", []step{list}, "?after=10&wait_ms=20000", 5 * time.Second, []step{drain, leave}, 5 * time.Second,
+			`12 false b:Gone c:Ready`},
+		{"a change to nobody", []step{list}, "?after=10&wait_ms=20000", time.Second, []step{{false, 11, ""}}, time.Second, `11 false `},
+		{"behind", []step{list, drain}, "?after=10&wait_ms=20000", 0, nil, 0, `11 false b:Terminating`},
+		{"ahead", []step{list}, "?after=11&wait_ms=20000", 0, nil, 0, `10 true a:Ready b:Ready`},
+		{"unknown", []step{list}, "?after=3&wait_ms=20000", 0, nil, 0, `10 true a:Ready b:Ready`},
+		{"another list", []step{list}, "?after=10&wait_ms=20000", time.Second, []step{{true, 3, "d:Ready"}}, time.Second, `3 true d:Ready`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{Store: NewStore(8)}
+				for _, step := range c.before {
+					step.play(t, s.Store)
+				}
+				began := time.Now()
+				answers := make(chan *httptest.ResponseRecorder)
+				go func() { answers <- get(s.Handler(0), c.query) }()
+				var w *httptest.ResponseRecorder
+				select {
+				case w = <-answers:
+				case <-func() <-chan time.Time {
+					if c.changes == nil {
+						return nil
+					}
+					return time.After(c.at)
+				}():
+					for _, step := range c.changes {
+						step.play(t, s.Store)
+					}
+					w = <-answers
+				}
+				took, l := time.Since(began), parse(t, w.Body.Bytes())
+				got := fmt.Sprintf("%d %v %s", *l.Revision, l.Complete, words(l.Members))
+				if took != c.took || w.Code != 200 || got != c.want {
+					t.Errorf("%d after %v: %s, want %s after %v", w.Code, took, got, c.want, c.took)
+				}
+			})
+		})
+	}
+}
+
+// A watch whose caller goes away ends, and makes room for another.
+func TestCallerGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan Call, 1)
+		s := &Server{Store: NewStore(8), Calls: 1, Done: func(c Call) { ended <- c }}
+		s.Store.Reset(1, ready(1))
+		ctx, leave := context.WithCancel(t.Context())
+		r := httptest.NewRequest(http.MethodGet, Path+"?after=1&wait_ms=20000", nil).WithContext(ctx)
+		go s.Handler(0).ServeHTTP(httptest.NewRecorder(), r)
+		synctest.Wait()
+		if w := get(s.Handler(0), ""); w.Code != 503 {
+			t.Errorf("a second call beside the one allowed: %d", w.Code)
+		}
+		if c := <-ended; c.Status != 503 {
+			t.Errorf("the second call ended as %+v", c)
+		}
+		if w := get(s.Handler(1), ""); w.Code != 200 {
+			t.Errorf("another agent meanwhile: %d", w.Code)
+		}
+		<-ended
+		leave()
+		if c := <-ended; c.Status != 0 || c.Held.IsZero() || !c.Written.IsZero() {
+			t.Errorf("the watch ended as %+v", c)
+		}
+		synctest.Wait()
+		if w := get(s.Handler(0), ""); w.Code != 200 {
+			t.Errorf("the call after it: %d", w.Code)
+		}
+	})
+}
+
+// gate notes what enters, keeps it for a while and may refuse it.
+type gate struct {
+	mu    sync.Mutex
+	works []Work
+	takes time.Duration
+	err   error
+}
+
+func (g *gate) Enter(ctx context.Context, w Work) (time.Duration, error) {
+	g.mu.Lock()
+	g.works = append(g.works, w)
+	takes, err := g.takes, g.err
+	g.mu.Unlock()
+	select {
+	case <-time.After(takes):
+		return takes, err
+	case <-ctx.Done():
+		return takes, ctx.Err()
+	}
+}
+
+func (g *gate) took() []Work {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	works := g.works
+	g.works = nil
+	return works
+}
+
+// A call pays for its beginning, unless it goes on with a watch, and for the lines that it is answered.
+func TestWhatACallPays(t *testing.T) {
+	const agent = 3
+	began := func(complete bool, lines int) Work { return Work{Agent: agent, Complete: complete, Lines: lines} }
+	told := func(complete bool, lines int) Work {
+		return Work{Agent: agent, GoesOn: true, Complete: complete, Lines: lines}
+	}
+	for _, c := range []struct {
+		name   string
+		first  string        // a call before, if any
+		pause  time.Duration // between the two
+		query  string
+		change string // while it waits, if any
+		want   []Work
+	}{
+		{"whole list", "", 0, "", "", []Work{began(true, 2)}},
+		{"new watch, nothing to tell", "", 0, "?after=10&wait_ms=1000", "", []Work{began(false, 0)}},
+		{"new watch, a change", "", 0, "?after=10&wait_ms=1000", "b:Gone c:Ready", []Work{began(false, 0), told(false, 2)}},
+		{"new watch, behind", "", 0, "?after=9&wait_ms=1000", "", []Work{began(true, 2)}},
+		{"after a whole list", "?", 0, "?after=10&wait_ms=1000", "", []Work{began(false, 0)}},
+		{"goes on", "?after=10", GoesOn, "?after=10&wait_ms=1000", "", nil},
+		{"goes on to a change", "?after=10", GoesOn, "?after=10&wait_ms=1000", "b:Gone", []Work{told(false, 1)}},
+		{"goes on to a whole list", "?after=10", GoesOn, "?after=9&wait_ms=1000", "", []Work{told(true, 2)}},
+		{"too late", "?after=10", GoesOn + time.Millisecond, "?after=10&wait_ms=1000", "", []Work{began(false, 0)}},
+		{"the whole list is no watch that goes on", "?after=10", 0, "", "", []Work{began(true, 2)}},
+		{"after a bad call", "?after=10&wait=0", 0, "?after=10&wait_ms=1000", "", []Work{began(false, 0)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &gate{takes: 5 * time.Millisecond}
+				var last Call
+				s := &Server{Store: NewStore(8), Gate: g, Done: func(c Call) { last = c }}
+				step{true, 10, "a:Ready b:Ready"}.play(t, s.Store)
+				if c.first != "" {
+					get(s.Handler(agent), c.first)
+					time.Sleep(c.pause) // of the bubble's clock
+					g.took()
+				}
+				began := time.Now()
+				ended := make(chan *httptest.ResponseRecorder)
+				go func() { ended <- get(s.Handler(agent), c.query) }()
+				if c.change != "" {
+					time.Sleep(100 * time.Millisecond)
+					step{false, 11, c.change}.play(t, s.Store)
+				}
+				if w := <-ended; w.Code != 200 {
+					t.Errorf("answered %d", w.Code)
+				}
+				got := g.took()
+				if fmt.Sprint(got) != fmt.Sprint(c.want) {
+					t.Errorf("paid for %+v, want %+v", got, c.want)
+				}
+				if c.change != "" && (time.Since(began) != 105*time.Millisecond || last.Due != g.takes || last.Held.IsZero()) {
+					t.Errorf("told after %v: %+v", time.Since(began), last)
+				}
+			})
+		})
+	}
+}
+
+// A call that the gate refuses gets a 503, and what comes next is a new call.
+func TestRefused(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		after string
+	}{
+		{Refused{Cause: "waited too long"}, ""},
+		{Refused{After: 1500 * time.Millisecond}, "1.5"},
+		{fmt.Errorf("relay: %w", Refused{After: 2 * time.Second}), "2"},
+		{errors.New("out of order"), ""},
+	} {
+		g := &gate{}
+		s := &Server{Store: NewStore(8), Gate: g}
+		s.Store.Reset(1, ready(1))
+		get(s.Handler(0), "?after=1")
+		g.err = c.err
+		if w := get(s.Handler(0), ""); w.Code != 503 || w.Header().Get("Retry-After") != c.after {
+			t.Errorf("%v: %d, Retry-After %q", c.err, w.Code, w.Header().Get("Retry-After"))
+		}
+		g.err = nil
+		g.took()
+		get(s.Handler(0), "?after=1")
+		if got := g.took(); len(got) != 1 || got[0].GoesOn {
+			t.Errorf("%v: the next call paid for %+v", c.err, got)
+		}
+	}
+}
+
+// A call says what its agent holds, unless the store cannot know that.
+func TestHeard(t *testing.T) {
+	var heard []string
+	s := &Server{Store: NewStore(8), Heard: func(agent int, revision uint64, _ time.Time) {
+		heard = append(heard, fmt.Sprint(agent, ":", revision))
+	}}
+	s.Store.Reset(10, ready(1))
+	for agent, query := range []string{"", "?after=10", "?after=11", "?after=4", "?after=x"} {
+		get(s.Handler(agent), query)
+	}
+	if got := strings.Join(heard, " "); got != "1:10 3:4" {
+		t.Errorf("heard %s", got)
+	}
+}
+
+// Many follow the list while it changes, some of them from behind the log, and all end up with the same.
+func TestFollowers(t *testing.T) {
+	const followers, last = 64, 300
+	s := &Server{Store: NewStore(16), Calls: 1}
+	s.Store.Reset(0, ready(20))
+	var all sync.WaitGroup
+	ends := make([]map[string]discovery.Member, followers)
+	for i := range followers {
+		all.Go(func() {
+			held, after, known := make(map[string]discovery.Member), uint64(0), false
+			for after < last {
+				query := ""
+				if known {
+					query = fmt.Sprintf("?after=%d&wait_ms=60000", after)
+				}
+				w := get(s.Handler(i), query)
+				l, err := discovery.Parse(w.Body.Bytes())
+				if err != nil || known && !l.Complete && *l.Revision <= after {
+					t.Errorf("after %d: %d %s: %v", after, w.Code, w.Body, err)
+					return
+				}
+				if l.Complete {
+					clear(held)
+				}
+				for _, m := range l.Members {
+					if m.Phase == gone {
+						delete(held, m.ID)
+					} else {
+						held[m.ID] = m
+					}
+				}
+				after, known = *l.Revision, true
+			}
+			ends[i] = held
+		})
+	}
+	for r := uint64(1); r <= last; r++ {
+		phase := []string{"Terminating", "Gone", "Ready"}[r%3]
+		if err := s.Store.Apply(r, []discovery.Member{member(fmt.Sprintf("s-%d", r%31), phase)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	all.Wait()
+	want := make(map[string]discovery.Member)
+	for _, m := range s.Store.Members() {
+		want[m.ID] = m
+	}
+	for i, held := range ends {
+		if fmt.Sprint(held) != fmt.Sprint(want) {
+			t.Errorf("follower %d holds %v, want %v", i, held, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lists/store_test.go
@@ -0,0 +1,275 @@
+package lists
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"unsafe"
+
+	"example.org/grebefork/internal/discovery"
+)
+
+func member(id, phase string) discovery.Member {
+	return discovery.Member{
+		ID: id, HostPort: "10.1.0.18:9000", Locality: "a", Flavor: "m2", Cell: 3, Phase: phase, Size: 1.5, UpSince: 1764640000000,
+	}
+}
+
+// ready are n entries with ids from s-0 on.
+func ready(n int) []discovery.Member {
+	members := make([]discovery.Member, n)
+	for i := range members {
+		members[i] = member(fmt.Sprintf("s-%d", i), "Ready")
+	}
+	return members
+}
+
+// parse reads an answer as an agent does.
+func parse(t *testing.T, text []byte) discovery.List {
+	t.Helper()
+	l, err := discovery.Parse(text)
+	if err != nil {
+		t.Fatalf("%.300s: %v", text, err)
+	}
+	return l
+}
+
+// words tells entries as "a:Ready b:Gone".
+func words(members []discovery.Member) string {
+	var all []string
+	for _, m := range members {
+		all = append(all, m.ID+":"+m.Phase)
+	}
+	return strings.Join(all, " ")
+}
+
+func TestEncode(t *testing.T) {
+	odd := member("s-\"\\\n\u00e9<", "Terminating")
+	odd.Size, odd.UpSince = 0, 0
+	for _, c := range []struct {
+		name    string
+		members []discovery.Member
+		want    string // exactly, if given
+	}{
+		{"none", nil, `{"revision":18446744073709551615,"complete":true,"members":[]}`},
+		{"one", []discovery.Member{member("s-1", "Ready")}, `{"revision":18446744073709551615,"complete":true,"members":[` +
+			`{"id":"s-1","host_port":"10.1.0.18:9000","locality":"a","flavor":"m2","cell":3,"phase":"Ready","size":1.5,"up_since_ms":1764640000000}]}`},
+		{"names that need quoting", []discovery.Member{odd, member("t", "Gone")}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := Encode(math.MaxUint64, true, c.members)
+			if c.want != "" && string(text) != c.want {
+				t.Errorf("%s\nwant %s", text, c.want)
+			}
+			l := parse(t, text)
+			if *l.Revision != math.MaxUint64 || !l.Complete || !slices.Equal(l.Members, c.members) {
+				t.Errorf("%s reads as %+v", text, l)
+			}
+		})
+	}
+	m := member("s-1", "Ready")
+	m.Size, m.UpSince = math.NaN(), math.Inf(1)
+	if l := parse(t, Encode(1, false, []discovery.Member{m})); l.Complete || l.Members[0].Size != 0 || l.Members[0].UpSince != 0 {
+		t.Errorf("figures that JSON cannot hold read as %+v", l)
+	}
+}
+
+// step is a call of Reset or Apply, by the entries "a:Ready".
+type step struct {
+	reset    bool
+	revision uint64
+	entries  string
+}
+
+func (s step) members() []discovery.Member {
+	var members []discovery.Member
+	for _, w := range strings.Fields(s.entries) {
+		id, phase, _ := strings.Cut(w, ":")
+		members = append(members, member(id, phase))
+	}
+	return members
+}
+
+func (s step) play(t *testing.T, store *Store) {
+	t.Helper()
+	if s.reset {
+		store.Reset(s.revision, s.members())
+	} else if err := store.Apply(s.revision, s.members()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSince(t *testing.T) {
+	list := step{true, 10, "a:Ready b:Ready c:Ready"}
+	drain := step{false, 11, "b:Terminating"}
+	leave := step{false, 13, "a:Gone d:Ready"}
+	for _, c := range []struct {
+		name     string
+		log      int
+		steps    []step
+		after    uint64
+		known    bool
+		revision uint64
+		complete bool
+		want     string
+	}{
+		{"whole", 8, []step{list}, 0, false, 10, true, "a:Ready b:Ready c:Ready"},
+		{"whole after changes", 8, []step{list, drain, leave}, 0, false, 13, true, "c:Ready b:Terminating d:Ready"},
+		{"nothing newer", 8, []step{list}, 10, true, 10, false, ""},
+		{"nothing newer after changes", 8, []step{list, drain}, 11, true, 11, false, ""},
+		{"one change", 8, []step{list, drain}, 10, true, 11, false, "b:Terminating"},
+		{"the last change only", 8, []step{list, drain, leave}, 11, true, 13, false, "a:Gone d:Ready"},
+		{"a revision that was left out", 8, []step{list, drain, leave}, 12, true, 13, false, "a:Gone d:Ready"},
+		{"two changes", 8, []step{list, drain, leave}, 10, true, 13, false, "b:Terminating a:Gone d:Ready"},
+		{"merged to the last", 8, []step{list, drain, {false, 12, "c:Terminating b:Gone"}, {false, 13, "b:Ready"}}, 10, true, 13, false,
+			"c:Terminating b:Ready"},
+		{"twice in one change", 8, []step{list, {false, 11, "b:Gone b:Ready"}}, 10, true, 11, false, "b:Ready"},
+		{"came and went", 8, []step{list, {false, 11, "d:Ready"}, {false, 12, "d:Gone"}}, 10, true, 12, false, "d:Gone"},
+		{"a revision without changes", 8, []step{list, {false, 11, ""}}, 10, true, 11, false, ""},
+		{"no news is no revision", 8, []step{list, {false, 10, ""}}, 10, true, 10, false, ""},
+		{"ahead", 8, []step{list}, 11, true, 10, true, "a:Ready b:Ready c:Ready"},
+		{"before the list", 8, []step{list, drain}, 9, true, 11, true, "a:Ready b:Terminating c:Ready"},
+		{"the log's first", 2, []step{list, drain, leave, {false, 14, "c:Gone"}}, 11, true, 14, false, "a:Gone d:Ready c:Gone"},
+		{"before the log", 2, []step{list, drain, leave, {false, 14, "c:Gone"}}, 10, true, 14, true, "d:Ready b:Terminating"},
+		{"no log", 0, []step{list, drain}, 10, true, 11, true, "a:Ready b:Terminating c:Ready"},
+		{"no log, nothing newer", 0, []step{list, drain}, 11, true, 11, false, ""},
+		{"reset", 8, []step{list, drain, {true, 20, "e:Ready f:Gone"}}, 11, true, 20, true, "e:Ready"},
+		{"reset to a lower one", 8, []step{list, drain, {true, 5, "e:Ready"}}, 11, true, 5, true, "e:Ready"},
+		{"changes after a reset", 8, []step{list, {true, 20, "e:Ready"}, {false, 21, "e:Gone"}}, 20, true, 21, false, "e:Gone"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewStore(c.log)
+			for _, step := range c.steps {
+				step.play(t, s)
+			}
+			a := s.Since(c.after, c.known)
+			l := parse(t, a.Text)
+			if got := words(l.Members); got != c.want || l.Complete != c.complete || *l.Revision != c.revision {
+				t.Errorf("%s, want revision %d, complete %v: %s", a.Text, c.revision, c.complete, c.want)
+			}
+			if a.Revision != *l.Revision || a.Complete != l.Complete || a.Lines != len(l.Members) {
+				t.Errorf("%+v does not describe its text %s", a, a.Text)
+			}
+			if s.Revision() != c.revision {
+				t.Errorf("revision %d", s.Revision())
+			}
+		})
+	}
+}
+
+// A change that cannot follow is refused and leaves the store as it was.
+func TestApplyRefuses(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+		bad   step
+		want  error
+	}{
+		{"no list", nil, step{false, 1, "a:Ready"}, errNoList},
+		{"backwards", []step{{true, 10, "a:Ready"}}, step{false, 9, "b:Ready"}, errBackwards},
+		{"backwards without changes", []step{{true, 10, "a:Ready"}}, step{false, 9, ""}, errBackwards},
+		{"the same again", []step{{true, 10, "a:Ready"}}, step{false, 10, "b:Ready"}, errBackwards},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewStore(8)
+			for _, step := range c.steps {
+				step.play(t, s)
+			}
+			before, changed := s.Since(0, false), s.Changed()
+			if err := s.Apply(c.bad.revision, c.bad.members()); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if after := s.Since(0, false); string(after.Text) != string(before.Text) || after.Revision != before.Revision {
+				t.Errorf("%s, before it %s", after.Text, before.Text)
+			}
+			select {
+			case <-changed:
+				t.Error("a refused change is told")
+			default:
+			}
+		})
+	}
+}
+
+// The log is bounded in entries as well as in revisions.
+func TestLogBoundedInLines(t *testing.T) {
+	const log, members = 4, 100
+	s := NewStore(log)
+	s.Reset(0, ready(members))
+	for r := range uint64(log) { // each changes nearly all: two of them are more than the list
+		if err := s.Apply(r+1, ready(members-1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !s.Since(log-2, true).Complete || s.Since(log-1, true).Complete || s.lines > members {
+		t.Errorf("the log holds %d lines of %d revisions", s.lines, len(s.log))
+	}
+}
+
+// What was handed out stays as it was.
+func TestMembersAreLeftAlone(t *testing.T) {
+	s := NewStore(8)
+	s.Reset(1, ready(3))
+	first, text := s.Members(), s.Since(0, false).Text
+	want, wantText := slices.Clone(first), string(text)
+	for r, entries := range []string{"s-1:Terminating", "s-0:Gone", "s-9:Ready"} {
+		step{false, uint64(r + 2), entries}.play(t, s)
+	}
+	if !slices.Equal(first, want) || string(text) != wantText {
+		t.Errorf("%v and %s, before the changes %v and %s", first, text, want, wantText)
+	}
+	if got := words(s.Members()); got != "s-2:Ready s-1:Terminating s-9:Ready" {
+		t.Errorf("now %s", got)
+	}
+}
+
+// allocated is how many bytes f takes.
+func allocated(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// However many follow the list, a change is encoded once, the whole list at most once, and neither is copied.
+func TestEncodedOnce(t *testing.T) {
+	const members, followers, changes = 1024, 1000, 20
+	s := NewStore(64)
+	s.Reset(1, ready(members))
+	whole := uint64(len(s.Since(0, false).Text))
+
+	texts := make(map[*byte]bool)
+	took := allocated(func() {
+		for r := uint64(2); r < 2+changes; r++ {
+			if err := s.Apply(r, []discovery.Member{member("s-7", "Terminating")}); err != nil {
+				t.Fatal(err)
+			}
+			for i := range followers {
+				lag := uint64(i%3) / 2 // a third is one revision behind
+				texts[unsafe.SliceData(s.Since(r-1-min(lag, r-2), true).Text)] = true
+			}
+		}
+	})
+	t.Logf("%d changes to %d followers: %d texts, %d bytes taken; the whole list has %d", changes, followers, len(texts), took, whole)
+	if len(texts) > 2*changes || took > whole {
+		t.Errorf("%d changes told to %d followers took %d texts and %d bytes; the whole list has %d",
+			changes, followers, len(texts), took, whole)
+	}
+
+	texts = make(map[*byte]bool)
+	took = allocated(func() {
+		for i := range followers { // those without a list, ahead, and behind the log
+			texts[unsafe.SliceData(s.Since([]uint64{0, 1 << 40, 0}[i%3], i%3 != 0).Text)] = true
+			s.Members()
+		}
+	})
+	t.Logf("the whole list to %d: %d texts, %d bytes taken", followers, len(texts), took)
+	if len(texts) != 1 || took > 2*whole {
+		t.Errorf("the whole list to %d took %d texts and %d bytes; it has %d", followers, len(texts), took, whole)
+	}
+}
