Count the bytes of agents' connections by agent and second

Cause: the budget of an agent's control traffic is stated for its worst 6 s, so bytes are needed by agent and second, without the count itself costing what is to be measured. Change: internal/scale/meter: a listener whose connections count what is read and written, a lock for each agent, an hour of seconds at most; bytes after it count in the last second. Ruled out: arrays of an hour made beforehand: 48 MB at 830 agents.

--- /dev/null
+++ b/internal/scale/meter/meter_test.go
@@ -0,0 +1,163 @@
+package meter
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipes hands out the connections that are sent to it. They keep the time of a bubble.
+type pipes struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (p pipes) Accept() (net.Conn, error) { return <-p.conns, nil }
+
+// connect returns both ends of a connection that counts as an agent's.
+func connect(t *testing.T, m *Meter, agent int) (near, counted net.Conn) {
+	t.Helper()
+	p := pipes{conns: make(chan net.Conn, 1)}
+	near, far := net.Pipe()
+	p.conns <- far
+	counted, err := m.Listener(p, agent).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, counted
+}
+
+// send writes so many bytes to one end and reads them at the other.
+func send(t *testing.T, from, to net.Conn, n int) {
+	t.Helper()
+	if n == 0 { // which a pipe would wait for
+		return
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := from.Write(make([]byte, n))
+		written <- err
+	}()
+	_, err := io.ReadFull(to, make([]byte, n))
+	if err := errors.Join(err, <-written); err != nil {
+		t.Error(err)
+	}
+}
+
+// Bytes count in their direction, agent and second.
+func TestBins(t *testing.T) {
+	type sent struct {
+		at      time.Duration // since the meter began
+		agent   int
+		in, out int
+	}
+	for _, c := range []struct {
+		name    string
+		sent    []sent
+		until   time.Duration
+		in, out string // the bins
+	}{
+		{"nothing", nil, 1500 * time.Millisecond, "[[0 0] [0 0]]", "[[0 0] [0 0]]"},
+		{"both ways", []sent{{0, 0, 3, 5}, {999 * time.Millisecond, 0, 10, 20}}, 999 * time.Millisecond, "[[13] [0]]", "[[25] [0]]"},
+		{"seconds", []sent{{0, 1, 1, 0}, {time.Second, 1, 2, 0}, {3 * time.Second, 1, 4, 7}}, 4 * time.Second,
+			"[[0 0 0 0 0] [1 2 0 4 0]]", "[[0 0 0 0 0] [0 0 0 7 0]]"},
+		{"agents", []sent{{time.Second, 0, 1, 2}, {time.Second, 1, 3, 4}}, time.Second, "[[0 1] [0 3]]", "[[0 2] [0 4]]"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begin := time.Now()
+				m := New(2, begin)
+				for _, s := range c.sent {
+					time.Sleep(time.Until(begin.Add(s.at))) // of the bubble's clock
+					near, counted := connect(t, m, s.agent)
+					send(t, near, counted, s.in)
+					send(t, counted, near, s.out)
+				}
+				time.Sleep(time.Until(begin.Add(c.until)))
+				in, out := m.Bins()
+				if fmt.Sprint(in) != c.in || fmt.Sprint(out) != c.out {
+					t.Errorf("in %v, out %v, want %s and %s", in, out, c.in, c.out)
+				}
+			})
+		})
+	}
+}
+
+// The meter keeps an hour; the bytes that come later are not lost. Begin forgets all.
+func TestBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(1, time.Now())
+		near, counted := connect(t, m, 0)
+		for range 3 {
+			time.Sleep(maxBins * time.Second)
+			send(t, near, counted, 7)
+		}
+		in, out := m.Bins()
+		if len(in[0]) != maxBins || len(out[0]) != maxBins || in[0][maxBins-1] != 21 {
+			t.Errorf("%d and %d seconds, the last with %d bytes in", len(in[0]), len(out[0]), in[0][maxBins-1])
+		}
+		m.Begin()
+		send(t, counted, near, 9)
+		if in, out := m.Bins(); fmt.Sprint(in, out) != "[[0]] [[9]]" {
+			t.Errorf("after Begin: in %v, out %v", in, out)
+		}
+	})
+}
+
+// Bytes before the meter begins count in its first second.
+func TestEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(1, time.Now().Add(time.Minute))
+		near, counted := connect(t, m, 0)
+		send(t, near, counted, 7)
+		if in, _ := m.Bins(); fmt.Sprint(in) != "[[7]]" {
+			t.Errorf("in %v", in)
+		}
+	})
+}
+
+// No byte is lost between many connections of many agents and those who look.
+func TestManyAtOnce(t *testing.T) {
+	const agents, conns, writes, size = 8, 4, 50, 100
+	m := New(agents, time.Now())
+	var all sync.WaitGroup
+	for i := range agents * conns {
+		near, counted := connect(t, m, i%agents)
+		all.Go(func() {
+			for range writes {
+				send(t, near, counted, size)
+				send(t, counted, near, 2*size)
+			}
+		})
+		all.Go(func() { m.Bins() })
+	}
+	all.Wait()
+	in, out := m.Bins()
+	for agent := range agents {
+		if n := sum(in[agent]); n != conns*writes*size {
+			t.Errorf("agent %d: %d bytes in, want %d", agent, n, conns*writes*size)
+		}
+		if n := sum(out[agent]); n != 2*conns*writes*size {
+			t.Errorf("agent %d: %d bytes out, want %d", agent, n, 2*conns*writes*size)
+		}
+	}
+}
+
+func sum(bins []int64) (all int64) {
+	for _, n := range bins {
+		all += n
+	}
+	return all
+}
+
+func BenchmarkAdd(b *testing.B) {
+	m := New(1, time.Now())
+	for b.Loop() {
+		m.add(0, 100, 0)
+	}
+}
