Stand in for discovery in a scale run, at stated costs and measured

Cause: a scale run needs a discovery service whose work takes the time that the platform states, that can be down or cut off from some agents, and whose own processor time, memory and lateness are known, so that they are not taken for the agents'. Change: internal/scale/control, the role "control". One http.Server serves each agent at an address of its own. Calls are worked through in turn by a plan made when they come; a call that has waited too long is refused in its turn, when its work has been done. Down resets connections and drops the queue; Cut makes an agent's connections silent, and resets them when the way is back. Stats gives bytes by agent and second, when each change was written to and heard of from each agent, and how many changes were told later than queue, cost and 50 ms explain. Ruled out: sleeping each cost in a worker: late wake-ups would add up in the queue. An http.Server for each agent: the same code with 830 sets of bookkeeping. Leaving new connections of a cut agent in the kernel's queue: they would be answered when the way is back, and pile up with callers that have given up.

--- /dev/null
+++ b/internal/scale/control/control_test.go
@@ -0,0 +1,532 @@
+package control
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/lists"
+	"example.org/grebefork/internal/scale/role"
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(role.Env) != "" {
+		if err := Main(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// addresses are one for each agent, on a port that is free on all of them.
+func addresses(t *testing.T, agents int) []string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // held meanwhile, so that nobody else is given the port
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var all []string
+	for a := range agents {
+		all = append(all, fmt.Sprintf("127.64.%d.%d:%d", a/250, a%250+1, l.Addr().(*net.TCPAddr).Port))
+	}
+	return all
+}
+
+func members(n int) []discovery.Member {
+	all := make([]discovery.Member, n)
+	for i := range all {
+		all[i] = discovery.Member{ID: fmt.Sprintf("s-%08x", i), HostPort: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250),
+			Locality: "a", Flavor: fmt.Sprintf("svc-%03d", i%130), Phase: "Ready", Size: 1}
+	}
+	return all
+}
+
+// startArgs are for so many agents.
+func startArgs(t *testing.T, agents int, costs scenario.Control) StartArgs {
+	return StartArgs{Costs: costs, Agents: make([]string, agents), Addrs: addresses(t, agents), Members: members(agents), Revision: 41}
+}
+
+// start plays control in this process.
+func start(t *testing.T, agents int, costs scenario.Control) (*Service, []string) {
+	t.Helper()
+	s, args := new(Service), startArgs(t, agents, costs)
+	var reply StartReply
+	if err := s.Start(args, &reply); err != nil || reply.Ready != agents {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	t.Cleanup(func() { s.Down(DownArgs{true}, nil) })
+	return s, args.Addrs
+}
+
+// caller is one agent's connection, which counts its bytes.
+type caller struct {
+	net.Conn
+	in  *bufio.Reader
+	got int64
+	put int64
+}
+
+func dial(t *testing.T, addr string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	a := &caller{Conn: c}
+	a.in = bufio.NewReader(a)
+	return a
+}
+
+func (a *caller) Read(b []byte) (int, error) {
+	n, err := a.Conn.Read(b)
+	a.got += int64(n)
+	return n, err
+}
+
+func (a *caller) send(query string) error {
+	n, err := fmt.Fprintf(a.Conn, "GET %s%s HTTP/1.1\r\nHost: x\r\n\r\n", lists.Path, query)
+	a.put += int64(n)
+	return err
+}
+
+func (a *caller) answer() (status int, l discovery.List, err error) {
+	resp, err := http.ReadResponse(a.in, nil)
+	if err != nil {
+		return 0, l, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		l, err = discovery.Parse(text)
+	}
+	return resp.StatusCode, l, err
+}
+
+func (a *caller) call(query string) (int, discovery.List, error) {
+	if err := a.send(query); err != nil {
+		return 0, discovery.List{}, err
+	}
+	return a.answer()
+}
+
+// callAll has one agent at each address do something at once.
+func callAll(t *testing.T, addrs []string, do func(agent int, a *caller) error) {
+	t.Helper()
+	var all sync.WaitGroup
+	for agent, addr := range addrs {
+		a := dial(t, addr)
+		all.Go(func() {
+			if err := do(agent, a); err != nil {
+				t.Errorf("agent %d: %v", agent, err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func stats(t *testing.T, s *Service) (r StatsReply) {
+	t.Helper()
+	if err := s.Stats(struct{}{}, &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// until waits for something that is on its way.
+func until(what func() bool) {
+	for !what() {
+		runtime.Gosched()
+	}
+}
+
+func drains(i int) ChangeArgs {
+	m := members(i + 1)[i]
+	m.Phase = "Terminating"
+	return ChangeArgs{[]discovery.Member{m}}
+}
+
+// A change reaches every agent, in the time that the stated costs take at least, and is heard of from those who call
+// again; the bytes counted are those that agents see.
+func TestChange(t *testing.T) {
+	const agents, line = 12, 4 * time.Millisecond
+	s, addrs := start(t, agents, scenario.Control{CallMS: 0.1, LineUS: float64(line / time.Microsecond), Parallel: 1, Log: 16})
+	first := make([]*caller, agents)
+	for i, addr := range addrs {
+		first[i] = dial(t, addr)
+		query := "?after=41"
+		if i == 0 {
+			query = ""
+		}
+		if status, l, err := first[i].call(query); status != 200 || l.Complete != (i == 0) || *l.Revision != 41 || err != nil {
+			t.Fatalf("agent %d: %d, %+v, %v", i, status, l, err)
+		}
+	}
+	for i, a := range first {
+		if err := a.send("?after=41&wait_ms=60000"); err != nil {
+			t.Fatalf("agent %d: %v", i, err)
+		}
+	}
+	var change ChangeReply
+	if err := s.Change(drains(3), &change); err != nil || change.Revision != 42 {
+		t.Fatalf("%+v, %v", change, err)
+	}
+	for i, a := range first[:agents-1] { // the last one does not come again
+		status, l, err := a.answer()
+		if err != nil || status != 200 || l.Complete || *l.Revision != 42 || len(l.Members) != 1 || l.Members[0].Phase != "Terminating" {
+			t.Fatalf("agent %d: %d, %+v, %v", i, status, l, err)
+		}
+		if status, _, err := a.call("?after=42"); status != 200 || err != nil {
+			t.Fatalf("agent %d: %d, %v", i, status, err)
+		}
+	}
+	if _, _, err := first[agents-1].answer(); err != nil {
+		t.Fatal(err)
+	}
+	until(func() bool { return stats(t, s).Machine.Calls == 3*agents-1 }) // the answer comes before it is noted
+	r := stats(t, s)
+	if len(r.Changes) != 1 || r.Changes[0].Revision != 42 || r.Changes[0].At != change.At || r.Changes[0].Lines != 1 {
+		t.Fatalf("%+v", r.Changes)
+	}
+	told := r.Changes[0]
+	for i := range agents {
+		if heard := told.Heard[i]; (heard != 0) != (i < agents-1) || heard != 0 && heard < change.At {
+			t.Errorf("agent %d is heard at %d of the change of %d", i, heard, change.At)
+		}
+	}
+	written := slices.Clone(told.Written)
+	slices.Sort(written)
+	for i, at := range written {
+		if least := change.At + int64(i+1)*int64(line); at < least {
+			t.Errorf("the %d. answer was written %v after the change, sooner than its cost", i+1, time.Duration(at-change.At))
+		}
+	}
+	if m := r.Machine; m.WholeLists != 1 || m.Refused != 0 || m.Busy <= 0 || m.Busy > 1 || m.CPUPercent <= 0 || m.RSSBytes < 1<<20 {
+		t.Errorf("%+v", m)
+	}
+	var in, out int64
+	for i, a := range first {
+		if got := total(r.Out[i : i+1]); got != a.got {
+			t.Errorf("agent %d: %d bytes counted, %d read", i, got, a.got)
+		}
+		if put := total(r.In[i : i+1]); put != a.put {
+			t.Errorf("agent %d: %d bytes counted, %d written", i, put, a.put)
+		}
+		in, out = in+a.put, out+a.got
+	}
+	if r.Machine.BytesIn != in || r.Machine.BytesOut != out {
+		t.Errorf("%d and %d bytes in all, want %d and %d", r.Machine.BytesIn, r.Machine.BytesOut, in, out)
+	}
+	if err := s.Begin(struct{}{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if r := stats(t, s); r.Machine.Calls != 0 || r.Machine.BytesOut != 0 || len(r.Changes) != 0 || r.LateTold != 0 {
+		t.Errorf("after Begin: %+v", r)
+	}
+}
+
+// A call that has waited too long is refused, and not before its turn.
+func TestRefusals(t *testing.T) {
+	const agents, cost, refuse = 12, 20 * time.Millisecond, 50 * time.Millisecond
+	s, addrs := start(t, agents, scenario.Control{CallMS: 20, Parallel: 1, RefuseMS: 50})
+	began := time.Now()
+	var refused, served int64
+	var mu sync.Mutex
+	callAll(t, addrs, func(agent int, a *caller) error {
+		sent := time.Now()
+		status, _, err := a.call("")
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err != nil:
+			return err
+		case status == 200:
+			served++
+		case status != 503 || time.Since(sent) < refuse+cost:
+			return fmt.Errorf("%d after %v", status, time.Since(sent))
+		default:
+			refused++
+		}
+		return nil
+	})
+	if took := time.Since(began); took < agents*cost {
+		t.Errorf("%d calls took %v", agents, took)
+	}
+	until(func() bool { return stats(t, s).Machine.Calls == agents })
+	m := stats(t, s).Machine
+	if m.Refused != refused || m.WholeLists != served || refused == 0 || served == 0 || m.QueueMS.Max < float64(refuse/time.Millisecond) || m.QueueMax == 0 {
+		t.Errorf("%d served, %d refused: %+v", served, refused, m)
+	}
+}
+
+func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
+// While control is down its connections are reset and new ones refused; it comes back at the same addresses and tells
+// what has changed meanwhile.
+func TestDown(t *testing.T) {
+	s, addrs := start(t, 3, scenario.Control{Parallel: 1, Log: 16})
+	for range 2 {
+		revision := s.store.Revision()
+		var watching []*caller
+		for _, addr := range addrs {
+			a := dial(t, addr)
+			if status, _, err := a.call(""); status != 200 || err != nil {
+				t.Fatal(status, err)
+			}
+			if err := a.send(fmt.Sprintf("?after=%d&wait_ms=60000", revision)); err != nil {
+				t.Fatal(err)
+			}
+			watching = append(watching, a)
+		}
+		for range 2 { // again is no fault
+			if err := s.Down(DownArgs{true}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i, a := range watching {
+			if status, _, err := a.answer(); !isReset(err) {
+				t.Errorf("agent %d: %d, %v", i, status, err)
+			}
+			if _, err := net.Dial("tcp", addrs[i]); !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("agent %d, new: %v", i, err)
+			}
+		}
+		var change ChangeReply
+		if err := s.Change(drains(int(revision)%3), &change); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Down(DownArgs{false}, nil); err != nil {
+			t.Fatal(err)
+		}
+		callAll(t, addrs, func(agent int, a *caller) error {
+			status, l, err := a.call(fmt.Sprintf("?after=%d&wait_ms=60000", revision))
+			if err != nil || status != 200 || l.Complete || *l.Revision != change.Revision {
+				return fmt.Errorf("%d %+v, %w", status, l, err)
+			}
+			return nil
+		})
+	}
+	until(func() bool { return len(stats(t, s).Changes) == 2 })
+}
+
+// Agents that are cut off hear nothing at all, not even that control has gone; their connections are reset when the way
+// is back. The others do not notice.
+func TestCut(t *testing.T) {
+	s, addrs := start(t, 2, scenario.Control{Parallel: 1, Log: 16})
+	cut := func(cut bool) {
+		t.Helper()
+		if err := s.Cut(CutArgs{[]int{0}, cut}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	held := func(n int) func() bool {
+		return func() bool {
+			s.ports[0].mu.Lock()
+			defer s.ports[0].mu.Unlock()
+			return len(s.ports[0].conns) == n
+		}
+	}
+	type ended struct {
+		name string
+		got  int64
+		err  error
+	}
+	ends := make(chan ended, 4)
+	wait := func(name string, a *caller) {
+		before := a.got
+		go func() {
+			_, _, err := a.answer()
+			ends <- ended{name, a.got - before, err}
+		}()
+	}
+	idle, watch, other := dial(t, addrs[0]), dial(t, addrs[0]), dial(t, addrs[1])
+	for _, a := range []*caller{idle, watch, other} {
+		if status, _, err := a.call(""); status != 200 || err != nil {
+			t.Fatal(status, err)
+		}
+	}
+	if err := errors.Join(watch.send("?after=41&wait_ms=60000"), other.send("?after=41&wait_ms=60000")); err != nil {
+		t.Fatal(err)
+	}
+	cut(true)
+	if err := idle.send(""); err != nil {
+		t.Fatal(err)
+	}
+	added := dial(t, addrs[0])
+	if err := added.send(""); err != nil {
+		t.Fatal(err)
+	}
+	left := dial(t, addrs[0]) // its agent gives up
+	until(held(4))
+	left.Close()
+	until(held(3))
+	wait("idle", idle)
+	wait("watch", watch)
+	wait("new", added)
+
+	var change ChangeReply
+	if err := s.Change(drains(1), &change); err != nil {
+		t.Fatal(err)
+	}
+	if status, l, err := other.answer(); status != 200 || *l.Revision != 42 || err != nil {
+		t.Errorf("the other agent: %d %+v, %v", status, l, err)
+	}
+	if err := other.send("?after=42&wait_ms=60000"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Down(DownArgs{true}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := other.answer(); !isReset(err) {
+		t.Errorf("control went down: the other agent got %v", err)
+	}
+	if err := s.Down(DownArgs{false}, nil); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case e := <-ends:
+		t.Errorf("while cut off, %s got %d bytes and %v", e.name, e.got, e.err)
+	default:
+	}
+	cut(false)
+	for range 3 {
+		if e := <-ends; e.got != 0 || !isReset(e.err) {
+			t.Errorf("%s got %d bytes and %v", e.name, e.got, e.err)
+		}
+	}
+	if status, l, err := dial(t, addrs[0]).call("?after=41"); status != 200 || *l.Revision != 42 || err != nil {
+		t.Errorf("back again: %d %+v, %v", status, l, err)
+	}
+	if r := stats(t, s); r.LateTold != 0 {
+		t.Errorf("%d changes told late", r.LateTold)
+	}
+}
+
+// Mistakes of whoever plays the run are errors.
+func TestMisuse(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	started, addrs := start(t, 1, scenario.Control{})
+	for _, c := range []struct {
+		name string
+		do   func() error
+		want string
+	}{
+		{"change before start", func() error { return new(Service).Change(ChangeArgs{}, new(ChangeReply)) }, "not been started"},
+		{"down before start", func() error { return new(Service).Down(DownArgs{}, nil) }, "not been started"},
+		{"cut before start", func() error { return new(Service).Cut(CutArgs{}, nil) }, "not been started"},
+		{"begin before start", func() error { return new(Service).Begin(struct{}{}, nil) }, "not been started"},
+		{"stats before start", func() error { return new(Service).Stats(struct{}{}, new(StatsReply)) }, "not been started"},
+		{"start twice", func() error { return started.Start(StartArgs{}, new(StartReply)) }, "started before"},
+		{"names and addresses", func() error { return new(Service).Start(StartArgs{Agents: []string{"a"}}, new(StartReply)) }, "1 agents have 0"},
+		{"address taken", func() error {
+			return new(Service).Start(StartArgs{Agents: make([]string, 2), Addrs: []string{"127.0.0.1:0", taken.Addr().String()}}, new(StartReply))
+		}, "address already in use"},
+		{"no such agent", func() error { return started.Cut(CutArgs{[]int{0, 1}, true}, nil) }, "agent 1 of 1"},
+	} {
+		if err := c.do(); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+	if status, _, err := dial(t, addrs[0]).call(""); status != 200 || err != nil {
+		t.Errorf("afterwards: %d, %v", status, err)
+	}
+}
+
+// Control is a process of its own that serves a whole fleet and ends with its input. Its figures are printed.
+func TestFleet(t *testing.T) {
+	agents, changes := 830, 20
+	if testing.Short() {
+		agents, changes = 100, 5
+	}
+	c, err := role.Start(t.Context(), "control", os.Stderr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Kill()
+	do := func(method string, args, reply any) {
+		t.Helper()
+		if err := c.Call(t.Context(), "Control."+method, args, reply); err != nil {
+			t.Fatal(err)
+		}
+	}
+	args := startArgs(t, agents, scenario.Control{CallMS: 0.05, LineUS: 1, Parallel: 4, RefuseMS: 2000, Log: 64})
+	began := time.Now()
+	var ready StartReply
+	do("Start", args, &ready)
+	t.Logf("%d agents' listeners after %v", ready.Ready, time.Since(began))
+
+	fleet := make([]*caller, agents)
+	for i, addr := range args.Addrs {
+		fleet[i] = dial(t, addr)
+		if status, _, err := fleet[i].call("?after=41"); status != 200 || err != nil {
+			t.Fatalf("agent %d: %d, %v", i, status, err)
+		}
+	}
+	watch := func(revision uint64) {
+		for i, a := range fleet {
+			if err := a.send(fmt.Sprintf("?after=%d&wait_ms=60000", revision)); err != nil {
+				t.Fatalf("agent %d: %v", i, err)
+			}
+		}
+	}
+	watch(41)
+	do("Begin", struct{}{}, &struct{}{})
+	began = time.Now()
+	for i := range changes {
+		var change ChangeReply
+		do("Change", drains(i), &change)
+		for i, a := range fleet {
+			if status, l, err := a.answer(); status != 200 || err != nil || *l.Revision != change.Revision || l.Complete {
+				t.Fatalf("agent %d: %d %+v, %v", i, status, l, err)
+			}
+		}
+		watch(change.Revision)
+	}
+	var r StatsReply
+	var took time.Duration
+	until(func() bool {
+		r, took = StatsReply{}, time.Since(began)
+		do("Stats", struct{}{}, &r)
+		return r.Machine.Calls == int64(agents*changes)
+	})
+	var last []float64
+	for _, c := range r.Changes {
+		last = append(last, float64(slices.Max(c.Written)-c.At)/1e6)
+		if slices.Contains(c.Written, 0) {
+			t.Errorf("revision %d was not written to all", c.Revision)
+		}
+	}
+	slices.Sort(last)
+	t.Logf("%d changes: the last agent told after %.1f ms, %.1f at worst; %d late; %.0f ms of processor a change (%.0f%% of a core for %v); %.0f bytes in and %.0f out a change and agent; %.0f MB held; queue %+v",
+		changes, last[len(last)/2], last[len(last)-1], r.LateTold, r.Machine.CPUPercent/100*float64(took/time.Millisecond)/float64(changes), r.Machine.CPUPercent, took,
+		float64(r.Machine.BytesIn)/float64(agents*changes), float64(r.Machine.BytesOut)/float64(agents*changes), r.Machine.RSSBytes/1e6, r.Machine.QueueMS)
+	if len(r.Changes) != changes || r.Machine.WholeLists != 0 || r.Machine.Refused != 0 || len(r.In) != agents || len(r.Out) != agents {
+		t.Errorf("%d changes, %+v", len(r.Changes), r.Machine)
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", args.Addrs[0]); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("after its end: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/scale/control/machine.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+// use is what this process had used by a time.
+type use struct {
+	at  time.Time
+	cpu time.Duration // user and system
+	rss float64       // bytes held then
+}
+
+func used() (use, error) {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return use{}, fmt.Errorf("getrusage: %w", err)
+	}
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return use{}, err
+	}
+	var size, resident int64 // pages
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return use{}, fmt.Errorf("/proc/self/statm: %w", err)
+	}
+	return use{time.Now(), time.Duration(r.Utime.Nano() + r.Stime.Nano()), float64(resident) * float64(os.Getpagesize())}, nil
+}
--- /dev/null
+++ b/internal/scale/control/told_test.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"example.org/grebefork/internal/lists"
+)
+
+// A change is late if a watch that waited for it was written later than its queue, its cost and the allowance explain.
+func TestLate(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		held    time.Duration // before the change; 0: the call did not wait
+		due     time.Duration
+		written time.Duration // after the change
+		status  int
+		late    int
+	}{
+		{"at once", time.Second, 0, time.Millisecond, 200, 0},
+		{"within the allowance", time.Second, 0, allowance - time.Millisecond, 200, 0},
+		{"late", time.Second, 0, allowance + time.Millisecond, 200, 1},
+		{"within its cost", time.Second, time.Second, time.Second + allowance - time.Millisecond, 200, 0},
+		{"later than its cost", time.Second, time.Second, time.Second + allowance + time.Millisecond, 200, 1},
+		{"began to wait after it", -time.Millisecond, 0, time.Second, 200, 0},
+		{"did not wait", 0, 0, time.Second, 200, 0},
+		{"never written", time.Second, 0, time.Second, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			told := newTold(2)
+			at, err := told.add(8, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := lists.Call{Agent: 1, Status: c.status, After: 7, Known: true, Revision: 8, Lines: 1, Due: c.due, Written: at.Add(c.written)}
+			if c.held != 0 {
+				done.Held = at.Add(-c.held)
+			}
+			told.done(done)
+			var r StatsReply
+			told.stats(&r)
+			written := at.Add(c.written).UnixNano()
+			if c.status != 200 {
+				written = 0
+			}
+			if r.LateTold != c.late || r.Changes[0].Written[1] != written || r.Changes[0].Written[0] != 0 {
+				t.Errorf("%d late, %+v", r.LateTold, r.Changes)
+			}
+		})
+	}
+}
+
+// The first sign of a revision, or of a newer one, counts; changes are bounded.
+func TestFirstSign(t *testing.T) {
+	told := newTold(1)
+	begin := time.Now()
+	for r := range uint64(3) {
+		if _, err := told.add(10+r, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, revision := range []uint64{9, 11, 10, 11, 12} {
+		told.heardAt(0, revision, begin.Add(time.Duration(i)))
+		told.done(lists.Call{Status: 200, Revision: revision, Complete: i == 0, Written: begin.Add(time.Duration(10 * i))})
+	}
+	var r StatsReply
+	told.stats(&r)
+	for i, want := range []int64{1, 1, 4} {
+		c := r.Changes[i]
+		if c.Heard[0] != begin.UnixNano()+want || c.Written[0] != begin.UnixNano()+10*want || c.Revision != uint64(10+i) {
+			t.Errorf("change %d: %+v, want %d after %d", i, c, want, begin.UnixNano())
+		}
+	}
+	if r.Machine.Calls != 5 || r.Machine.WholeLists != 1 || r.Machine.Refused != 0 {
+		t.Errorf("%+v", r.Machine)
+	}
+	for r := uint64(13); r < 10+maxChanges; r++ {
+		if _, err := told.add(r, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := told.add(10+maxChanges, 1); err == nil {
+		t.Error("more changes than can be kept are taken in")
+	}
+	told.begin()
+	if _, err := told.add(10+maxChanges, 1); err != nil {
+		t.Errorf("after Begin: %v", err)
+	}
+}
