Add echo servers and a bare client, to measure what an agent adds to a call

Cause: the scale run has to state what a real agent adds to a call, and that is the difference to the same call made directly. A client or a server with goroutines and spread of its own would hide it.

Change: internal/scale/realagent builds the agent with the flags of deploy/balancer.toml (a test holds the two together), serves as counter servers that answer at once with the call's id as the body, and has a client on the connection itself that takes its time at the last byte read and accepts no answer without a length, with bytes behind it, or of another form.

Ruled out: net/http on either side of the measure, whose background read of each request is a goroutine more on both ways.

--- /dev/null
+++ b/internal/scale/realagent/build.go
@@ -0,0 +1,30 @@
+package realagent
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// buildFlags are those of deploy/balancer.toml: what is measured is built as what is deployed.
+var buildFlags = []string{"-buildvcs=false", "-trimpath", "-ldflags=-linkmode=external"}
+
+// Build builds the agent out of the repository at root into the folder dir and returns the program's path. Its errors
+// carry what the compiler said.
+func Build(ctx context.Context, root, dir string) (bin string, err error) {
+	dir, err = filepath.Abs(dir)
+	if err != nil {
+		return "", fmt.Errorf("building the agent: %w", err)
+	}
+	bin = filepath.Join(dir, "micaline")
+	args := append([]string{"build"}, buildFlags...)
+	cmd := exec.CommandContext(ctx, "go", append(args, "-o", bin, "./cmd/micaline")...)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if said, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the agent: %w\n%s", err, said)
+	}
+	return bin, nil
+}
--- /dev/null
+++ b/internal/scale/realagent/build_test.go
@@ -0,0 +1,34 @@
+package realagent
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The program is built as it is deployed, and what the compiler says comes with the error.
+func TestBuild(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/balancer.toml")
+	if want := "CGO_ENABLED=1 go build " + strings.Join(buildFlags, " ") + " -o "; err != nil || !strings.Contains(string(text), want) {
+		t.Errorf("deploy/balancer.toml does not build with %q: %v", want, err)
+	}
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"go.mod": "module broken\n\ngo 1.25\n", "cmd/micaline/main.go": "package main\n\nfunc main() { missing() }\n",
+	} {
+		path := filepath.Join(dir, name)
+		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o700), os.WriteFile(path, []byte(text), 0o600)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err = Build(t.Context(), dir, dir)
+	if err == nil || !strings.Contains(err.Error(), "building the agent") || !strings.Contains(err.Error(), "undefined: missing") {
+		t.Errorf("error %v", err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "micaline")); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("a program is left: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/scale/realagent/echo.go
@@ -0,0 +1,156 @@
+package realagent
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	callIDHeader = "X-Call-Id"
+	alivePath    = "/alive"
+	loadPath     = "/metrics/load"
+)
+
+// EchoServers are counter servers on loopback sockets that do no work: they answer at once, with the request's id as the
+// body, so that whoever calls can tell that an answer is its own. Their load reports hold all fields that the settings can
+// name; agents leave out what theirs do not.
+type EchoServers struct {
+	servers []*echoServer
+	conns   sync.WaitGroup
+}
+
+// echoServer is one of them.
+type echoServer struct {
+	listener net.Listener
+	open     atomic.Int64 // requests
+	recent   atomic.Int64 // how long the last one took, ns
+
+	mu    sync.Mutex
+	ended bool
+	conns map[net.Conn]struct{}
+}
+
+// Echo starts so many servers.
+func Echo(n int) (*EchoServers, error) {
+	e := &EchoServers{}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("echo servers: %w", err), e.Close())
+		}
+		s := &echoServer{listener: l, conns: map[net.Conn]struct{}{}}
+		e.servers = append(e.servers, s)
+		e.conns.Go(func() { e.accept(s) })
+	}
+	return e, nil
+}
+
+// Addrs are where they listen, host and port.
+func (e *EchoServers) Addrs() []string {
+	addrs := make([]string, len(e.servers))
+	for i, s := range e.servers {
+		addrs[i] = s.listener.Addr().String()
+	}
+	return addrs
+}
+
+// Close ends the servers and their connections, and waits for that.
+func (e *EchoServers) Close() error {
+	var errs []error
+	for _, s := range e.servers {
+		errs = append(errs, s.end())
+	}
+	e.conns.Wait()
+	return errors.Join(errs...)
+}
+
+func (e *EchoServers) accept(s *echoServer) {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return // it was closed
+		}
+		if s.add(c) {
+			e.conns.Go(func() {
+				s.serve(c)
+				s.drop(c)
+			})
+		}
+	}
+}
+
+func (s *echoServer) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		c.Close()
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *echoServer) drop(c net.Conn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *echoServer) end() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for c := range s.conns {
+		c.Close()
+	}
+	return s.listener.Close()
+}
+
+// serve answers a connection's requests in turn until either side ends it. It is written on the connection itself: what
+// net/http does beside it would be in both sides of the comparison, and its spread would hide the agent's.
+func (s *echoServer) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	var text []byte
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		begun := time.Now()
+		s.open.Add(1)
+		text = s.answer(text[:0], r)
+		_, err = c.Write(text)
+		s.open.Add(-1)
+		s.recent.Store(int64(time.Since(begun)))
+		if err != nil || r.Close {
+			return
+		}
+	}
+}
+
+// answer appends the whole answer to a request.
+func (s *echoServer) answer(to []byte, r *http.Request) []byte {
+	status, body := http.StatusOK, r.Header.Get(callIDHeader)
+	report := fmt.Sprintf("outstanding=%d,backlog=0,recent_ms=%.3f", s.open.Load(), float64(s.recent.Load())/1e6)
+	switch {
+	case r.URL.Path == alivePath:
+		body = "alive\n"
+	case r.URL.Path == loadPath:
+		body = report
+	case body == "":
+		status, body = http.StatusNotFound, "no "+callIDHeader+"\n"
+	}
+	return fmt.Appendf(to, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nX-Load-Report: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), report, len(body), body)
+}
--- /dev/null
+++ b/internal/scale/realagent/talk.go
@@ -0,0 +1,104 @@
+package realagent
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+)
+
+// mostAnswer is how many bytes an answer may have; those that are awaited here are short.
+const mostAnswer = 16 << 10
+
+var errNoAnswer = errors.New("the connection ended without an answer")
+
+// talk is one connection for requests in turn. It does as little as it can around a request, unlike net/http's client, so
+// that what it measures is the other side's time.
+type talk struct {
+	net.Conn
+	buf []byte
+}
+
+// reply is an answer; its body holds until the next request.
+type reply struct {
+	status int
+	close  bool // no request may follow on the connection
+	body   []byte
+	last   time.Time // when its last byte had been read
+}
+
+func newTalk(c net.Conn) *talk { return &talk{Conn: c, buf: make([]byte, mostAnswer)} }
+
+// ask writes a request and reads its answer. It is errNoAnswer if not a byte of one came before the connection's end.
+func (t *talk) ask(request []byte) (reply, error) {
+	if _, err := t.Write(request); err != nil {
+		return reply{}, noAnswer(err)
+	}
+	for n := 0; ; {
+		got, err := t.Read(t.buf[n:])
+		last := time.Now()
+		n += got
+		if err != nil {
+			if n == 0 {
+				err = noAnswer(err)
+			}
+			return reply{}, err
+		}
+		r, whole, err := parseReply(t.buf[:n])
+		if err != nil || whole {
+			r.last = last
+			return r, err
+		}
+		if n == len(t.buf) {
+			return reply{}, fmt.Errorf("an answer of over %d bytes", n)
+		}
+	}
+}
+
+// noAnswer is the error of a connection that ended before an answer; one that is only silent has not ended.
+func noAnswer(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errNoAnswer, err)
+}
+
+// parseReply reads an answer with a length, as far as it has come. It knows no other framing: neither an agent nor an echo
+// server has a reason to use one for a short body.
+func parseReply(text []byte) (r reply, whole bool, err error) {
+	head, body, ended := bytes.Cut(text, []byte("\r\n\r\n"))
+	if !ended {
+		return r, false, nil
+	}
+	status, fields, _ := bytes.Cut(head, []byte("\r\n"))
+	length := -1
+	if code, ok := bytes.CutPrefix(status, []byte("HTTP/1.1 ")); ok && len(code) >= 3 {
+		r.status, err = strconv.Atoi(string(code[:3]))
+	}
+	if r.status == 0 || err != nil {
+		return r, false, fmt.Errorf("an answer that begins with %q", status)
+	}
+	for field := range bytes.SplitSeq(fields, []byte("\r\n")) {
+		name, value, _ := bytes.Cut(field, []byte(":"))
+		value = bytes.TrimSpace(value)
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			if length, err = strconv.Atoi(string(value)); err != nil || length < 0 {
+				return r, false, fmt.Errorf("an answer with a length of %q", value)
+			}
+		case bytes.EqualFold(name, []byte("Connection")):
+			r.close = bytes.EqualFold(value, []byte("close"))
+		}
+	}
+	if length < 0 {
+		return r, false, fmt.Errorf("an answer without a length, %q", status)
+	}
+	if len(body) > length {
+		return r, false, fmt.Errorf("%d bytes behind an answer", len(body)-length)
+	}
+	r.body = body
+	return r, len(body) == length, nil
+}
