Run real agents in the scale run: files, processes, reloads, restarts, added time

Cause: hollow agents say what control costs only as far as they are like real ones. Some dozens of real ones have to run beside them and be measured.

Change: internal/scale/realagent starts up to 200 processes of bin/micaline, each with a folder, an address and a configuration of its own, and waits for /up. Quiet agents get no calls, so that what they cost is control's alone. An agent that dies, does not come up or rejects a configuration is an error with its name and its last lines. Processes end with the fleet, the context and the parent.

Ruled out: /proc/PID/stat for processor time, whose step of 10 ms is a third of a percent of a core in a run of 3 s; /proc/PID/schedstat, which is the first thread's alone. Calls while their agent restarts: the platform's clients stop with their agent, so these would count as failed what nobody sends.

--- /dev/null
+++ b/internal/scale/realagent/added.go
@@ -0,0 +1,204 @@
+package realagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/world"
+)
+
+const (
+	// warmPairs are how many pairs of calls go first on each client, and on each new connection, and are left out: they
+	// open connections, and a process's first calls find nothing in place.
+	warmPairs = 20
+	callTime  = 3 * time.Second // for a call; the budget that it states is less
+	budget    = "2000m"
+	longest   = 10_000 // ms that the histograms can tell
+)
+
+// Added measures what an agent adds to a call: on one connection to each busy agent and one to an echo server, both kept,
+// a client makes the same call through the agent and directly, in turn, with about gap between two calls (half of it to
+// one and a half times, drawn). calls are the measured pairs of all clients together. Pairs with a failed call, or one that
+// had to be sent again because the agent closed its connection, are left out of the times, as are each client's first
+// warmPairs and as many behind each new connection. Clients stop while their agent is restarted, as the platform's do.
+func (f *Fleet) Added(ctx context.Context, calls int, gap time.Duration) (result.Added, error) {
+	if len(f.o.Echo) == 0 {
+		return result.Added{}, errors.New("the time that agents add: there is no echo server to call directly")
+	}
+	var clients []*client
+	for i, a := range f.agents {
+		if a.busy {
+			clients = append(clients, newClient(a, f.o.Echo[i%len(f.o.Echo)], len(clients)))
+		}
+	}
+	each := (calls + len(clients) - 1) / len(clients)
+	var all sync.WaitGroup
+	errs := make([]error, len(clients))
+	for i, c := range clients {
+		all.Go(func() { errs[i] = c.run(ctx, each, gap) })
+	}
+	all.Wait()
+	return summary(clients), errors.Join(errs...)
+}
+
+// client makes one agent's calls.
+type client struct {
+	agent  *agent
+	ends   [2]*end // through the agent, and directly
+	random *rand.Rand
+	prefix string // of ids
+	n      int    // calls
+	failed int
+	pairs  [2][]time.Duration
+}
+
+// end is one of the two ways.
+type end struct {
+	addr string
+	talk *talk
+	warm int // pairs still to be left out
+}
+
+func newClient(a *agent, direct string, n int) *client {
+	return &client{
+		agent: a, ends: [2]*end{{addr: a.listen, warm: warmPairs}, {addr: direct, warm: warmPairs}},
+		random: rand.New(rand.NewPCG(uint64(n), 1)),
+		prefix: strconv.FormatUint(rand.Uint64(), 16) + "-",
+	}
+}
+
+// run makes so many pairs that count, or at most twice that and the warm ones, where many fail.
+func (c *client) run(ctx context.Context, pairs int, gap time.Duration) error {
+	defer c.close()
+	for tries := 0; len(c.pairs[0]) < pairs; tries++ {
+		if tries == 2*pairs+2*warmPairs {
+			return c.agent.report("%d pairs of calls gave only %d to measure, %d calls failed", tries, len(c.pairs[0]), c.failed)
+		}
+		if err := c.pair(ctx, gap); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pair makes one call through the agent and one directly.
+func (c *client) pair(ctx context.Context, gap time.Duration) error {
+	var took [2]time.Duration
+	counts := true
+	for way, e := range c.ends {
+		if err := pause(ctx, gap/2+time.Duration(c.random.Float64()*float64(gap))); err != nil {
+			return err
+		}
+		t, clean, err := c.call(ctx, way)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			c.failed++
+		}
+		counts = counts && clean && err == nil && e.warm == 0
+		took[way] = t
+	}
+	if counts {
+		for way := range took {
+			c.pairs[way] = append(c.pairs[way], took[way])
+		}
+	}
+	for _, e := range c.ends {
+		e.warm = max(0, e.warm-1)
+	}
+	return nil
+}
+
+// call makes a call one way and returns how long it took, and whether it was sent once only, on a connection that was there.
+func (c *client) call(ctx context.Context, way int) (took time.Duration, clean bool, err error) {
+	if way == 0 {
+		c.agent.life.RLock()
+		defer c.agent.life.RUnlock()
+		c.agent.calls.Add(1)
+	}
+	c.n++
+	id := c.prefix + strconv.Itoa(c.n)
+	request := fmt.Appendf(nil, "GET /%s/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Budget: %s\r\n\r\n",
+		world.EchoService, id, world.EchoService, budget)
+	e := c.ends[way]
+	clean = e.talk != nil
+	for sent := 1; ; sent++ {
+		took, err = e.call(ctx, request, id)
+		// Who reads no answer at all on a kept connection has crossed its close, and sends once more.
+		if !errors.Is(err, errNoAnswer) || !clean || sent == 2 {
+			return took, clean && sent == 1, err
+		}
+	}
+}
+
+// call sends a request, on the connection that there is or a new one, and checks that the answer is its own.
+func (e *end) call(ctx context.Context, request []byte, id string) (time.Duration, error) {
+	if e.talk == nil {
+		d := net.Dialer{Timeout: callTime}
+		c, err := d.DialContext(ctx, "tcp", e.addr)
+		if err != nil {
+			return 0, err
+		}
+		e.talk, e.warm = newTalk(c), warmPairs
+	}
+	begun := time.Now()
+	e.talk.SetDeadline(begun.Add(callTime))
+	r, err := e.talk.ask(request)
+	switch {
+	case err != nil:
+	case r.status != http.StatusOK:
+		err = fmt.Errorf("answered %d", r.status)
+	case string(r.body) != id:
+		err = fmt.Errorf("answered with %q, which is another call's", r.body)
+	}
+	if err != nil || r.close {
+		e.close()
+	}
+	return r.last.Sub(begun), err
+}
+
+func (e *end) close() {
+	if e.talk != nil {
+		e.talk.Close()
+		e.talk = nil
+	}
+}
+
+func (c *client) close() {
+	for _, e := range c.ends {
+		e.close()
+	}
+}
+
+// summary sums up what the clients measured.
+func summary(clients []*client) result.Added {
+	var sum result.Added
+	hists := [2]*result.Hist{result.NewHist(longest), result.NewHist(longest)}
+	var differences []time.Duration
+	for _, c := range clients {
+		sum.Failed += c.failed
+		for i, through := range c.pairs[0] {
+			direct := c.pairs[1][i]
+			hists[0].AddDuration(through)
+			hists[1].AddDuration(direct)
+			differences = append(differences, through-direct)
+		}
+	}
+	sum.Through, sum.Direct, sum.CallsEach = hists[0].Dist(), hists[1].Dist(), len(differences)
+	sum.P99MS = sum.Through.P99 - sum.Direct.P99
+	if len(differences) > 0 {
+		slices.Sort(differences)
+		sum.MedianMS = float64(differences[len(differences)/2]) / float64(time.Millisecond)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/scale/realagent/realagent.go
@@ -0,0 +1,242 @@
+// Package realagent runs real agents, processes of bin/micaline, beside the hollow ones of a scale run: some dozens, each
+// with its own files and its own loopback address, against which the hollow ones are checked. It measures what they cost
+// for control and what they add to a call.
+package realagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/world"
+)
+
+const (
+	mostAgents  = 200
+	startAtOnce = 16 // processes that come up at the same time
+	// longestInForce is the largest time that the histograms can tell, in ms.
+	longestInForce = 120_000
+)
+
+// Options say which agents are real and where they find the others.
+type Options struct {
+	// Config is the configuration of an agent of the world, such as (*world.World).Config.
+	Config func(agent int, o world.ConfigOptions) []byte
+	Agents []int // positions in the world
+	// Busy of the agents, the first ones, get the calls of Added; 0: half of them, rounded up. The others are quiet: what
+	// they cost is control's alone.
+	Busy      int
+	Echo      []string   // addresses of the echo servers, for direct calls
+	Bin       string     // the agent's program
+	Dir       string     // a temporary folder is made in it; empty: the system's
+	Discovery []string   // address by position in the world
+	Relays    [][]string // addresses by position in the world; nil: none
+	Known     []byte     // the list that the agents start with, in discovery's form; nil: none
+	Log       *slog.Logger
+}
+
+// check says what of the options cannot be.
+func (o *Options) check() error {
+	if n := len(o.Agents); n == 0 || n > mostAgents {
+		return fmt.Errorf("%d real agents: there may be 1 to %d", n, mostAgents)
+	}
+	if o.Busy < 0 || o.Busy > len(o.Agents) {
+		return fmt.Errorf("%d busy ones of %d real agents", o.Busy, len(o.Agents))
+	}
+	for i, a := range o.Agents {
+		if a < 0 || a >= len(o.Discovery) || o.Relays != nil && a >= len(o.Relays) {
+			return fmt.Errorf("real agent %d has no address of discovery or relays", a)
+		}
+		if slices.Contains(o.Agents[:i], a) {
+			return fmt.Errorf("real agent %d stands there twice", a)
+		}
+	}
+	return nil
+}
+
+// Fleet is the real agents of a run.
+type Fleet struct {
+	o      Options
+	dir    string
+	agents []*agent
+	ctx    context.Context // of the processes
+	cancel context.CancelFunc
+	closed func() error
+
+	configuring sync.Mutex // changes of configuration come in turn
+
+	mu      sync.Mutex
+	closing bool
+	err     error
+	failed  chan struct{}
+	begun   time.Time // the measured part, as what follows
+	inForce *result.Hist
+	changes []ConfigChange
+	ups     *result.Hist
+}
+
+// Start starts the agents and waits until all are up. An agent that does not come up is an error with its name and its last
+// lines, and then none is left. All processes end with the context, and with this process, however that comes.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	if o.Busy == 0 {
+		o.Busy = (len(o.Agents) + 1) / 2
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	dir, err := os.MkdirTemp(o.Dir, "realagent-")
+	if err != nil {
+		return nil, fmt.Errorf("real agents: %w", err)
+	}
+	f := &Fleet{o: o, dir: dir, failed: make(chan struct{})}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.closed = sync.OnceValue(f.close)
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	f.Begin()
+	return f, nil
+}
+
+// start prepares all agents and brings them up, some at a time.
+func (f *Fleet) start(ctx context.Context) error {
+	for i, position := range f.o.Agents {
+		a, err := f.prepare(i, position)
+		if err != nil {
+			return err
+		}
+		f.agents = append(f.agents, a)
+	}
+	return f.each(f.agents, startAtOnce, func(a *agent) error {
+		took, err := f.run(ctx, a)
+		if err == nil {
+			f.o.Log.Debug("a real agent is up", "agent", a.name, "listen", a.listen, "took", took)
+		}
+		return err
+	})
+}
+
+// prepare makes an agent's folder, finds its address and writes its configuration.
+func (f *Fleet) prepare(i, position int) (*agent, error) {
+	a := &agent{
+		position: position, busy: i < f.o.Busy, known: f.o.Known, discovery: f.o.Discovery[position],
+		dir: filepath.Join(f.dir, strconv.Itoa(position)),
+	}
+	if f.o.Relays != nil {
+		a.relays = f.o.Relays[position]
+	}
+	if err := os.MkdirAll(filepath.Join(a.dir, "tmp"), 0o700); err != nil {
+		return nil, fmt.Errorf("real agent %d: %w", position, err)
+	}
+	var err error
+	if a.listen, err = freeAddr(position); err != nil {
+		return nil, fmt.Errorf("real agent %d: %w", position, err)
+	}
+	text := a.config(f.o.Config)
+	if a.name, err = nameIn(text); err != nil {
+		return nil, fmt.Errorf("real agent %d: %w", position, err)
+	}
+	return a, a.writeConfig(text)
+}
+
+// freeAddr is an address of an agent's own, with a port that was free just now: the program must be told one.
+func freeAddr(position int) (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.48.%d.%d:0", position/250, position%250+1))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// run starts an agent's process and waits until it is up.
+func (f *Fleet) run(ctx context.Context, a *agent) (time.Duration, error) {
+	p, err := a.begin(f.ctx, f.o.Bin, func(p *process) { f.ended(a, p) })
+	if err != nil {
+		return 0, err
+	}
+	return a.awaitUp(ctx, p)
+}
+
+// each does something for some agents at once and returns all errors.
+func (f *Fleet) each(agents []*agent, atOnce int, do func(*agent) error) error {
+	errs := make([]error, len(agents))
+	turns := make(chan struct{}, atOnce)
+	var all sync.WaitGroup
+	for i, a := range agents {
+		turns <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turns }()
+			errs[i] = do(a)
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// ended notes the end of a process. One that nobody asked to end makes the run fail.
+func (f *Fleet) ended(a *agent, p *process) {
+	if p.asked.Load() || f.ctx.Err() != nil {
+		return
+	}
+	err := a.report("died in the run: %w", orExited(p.err))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil || f.closing {
+		return
+	}
+	f.err = err
+	close(f.failed)
+	f.o.Log.Error("a real agent died", "agent", a.name, "error", err)
+}
+
+// Err is the first end of a process that nobody asked for, with the agent's name and its last lines, or nil.
+func (f *Fleet) Err() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+// Failed is closed when Err is set.
+func (f *Fleet) Failed() <-chan struct{} { return f.failed }
+
+// Close asks all agents to end, kills those that do not, and removes their files. Its errors name the agents that did not
+// end well; it can be called again and says the same.
+func (f *Fleet) Close() error { return f.closed() }
+
+func (f *Fleet) close() error {
+	f.mu.Lock()
+	f.closing = true
+	f.mu.Unlock()
+	err := f.each(f.agents, mostAgents, func(a *agent) error {
+		a.life.Lock()
+		defer a.life.Unlock()
+		p := a.running()
+		switch {
+		case p == nil:
+			return nil
+		case f.ctx.Err() != nil: // it is being killed
+			<-p.done
+			return nil
+		}
+		return a.stop(p)
+	})
+	f.cancel()
+	if rm := os.RemoveAll(f.dir); rm != nil {
+		err = errors.Join(err, fmt.Errorf("real agents: %w", rm))
+	}
+	return err
+}
