Run hollow agents: the real thing but for the sockets of requests

Cause: 830 real agents do not fit on one machine, and what control costs an agent has to be measured at that number.

Change: a process holds many agents, each with its own discovery client over HTTP, configuration reader, table of members and Balancer. Calls, counter servers and applications are modelled in up to four shards, each an event engine on a thread of its own. Events count as of their due time, so a busy machine makes no modelled time longer; the lag is told. The shards' processor time, less what they spend on lists, configurations and timers that ask, is the calls'; the rest of the process is control's. In-force times are kept by agent for every revision of list and configuration. Repeats of calls that may have run are counted by effect.

Ruled out: holding a server's slot while its request waits for calls of its own. A slot is held for the server's own work, as the scenario reckons; what waits for calls still counts as outstanding.

--- /dev/null
+++ b/internal/scale/hollow/hollow_test.go
@@ -0,0 +1,299 @@
+package hollow
+
+import (
+	"bytes"
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/scale/scenario"
+	"example.org/grebefork/internal/scale/world"
+)
+
+// Calls come to each layer as often as the world says, at the root by the second and below by the root, and nearly all
+// are served.
+func TestCallsReachTheirRates(t *testing.T) {
+	w := tinyWorld(t, nil)
+	f, _ := started(t, w, nil)
+	f.Begin()
+	until(t, "1500 calls at the root", func() bool { return f.tally().Roots[peace] >= 1500 })
+	r := f.Stats()
+	want := w.LayerRates()
+	if expected := want[0] * r.Seconds; math.Abs(float64(r.Roots)-expected) > 5*math.Sqrt(expected)+1 {
+		t.Errorf("%d roots in %.2f s, want %.0f", r.Roots, r.Seconds, expected)
+	}
+	if len(r.Depths) != len(want) {
+		t.Fatalf("%d layers: %+v", len(r.Depths), r.Depths)
+	}
+	for i, d := range r.Depths {
+		expected := want[i] / want[0] * float64(r.Roots)
+		if math.Abs(float64(d.Calls)-expected) > 6*math.Sqrt(expected)+30 { // and what is under way
+			t.Errorf("layer %d: %d calls, want %.0f", d.Depth, d.Calls, expected)
+		}
+		if d.Attempts < d.OK || d.OK < d.Calls*97/100-30 {
+			t.Errorf("layer %d: %+v", d.Depth, d)
+		}
+	}
+	var roots, served int64
+	for _, win := range r.Windows {
+		roots, served = roots+win.Roots, served+win.Served
+	}
+	if roots != r.Roots || served != r.Depths[0].OK {
+		t.Errorf("windows: %d roots and %d served, want %d and %d", roots, served, r.Roots, r.Depths[0].OK)
+	}
+	if r.Doubled != 0 || r.ModelCPU <= 0 || r.ControlCPU <= 0 || r.Heap <= 0 || r.LagMS.N == 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A change of the list is in force at every agent within the platform's bound, its time is noted by revision, and nobody
+// asks for the whole list for it.
+func TestListInForce(t *testing.T) {
+	w := tinyWorld(t, nil)
+	f, c := started(t, w, nil)
+	f.Begin()
+	asked := c.asked()
+	var made []time.Time
+	for i := range 3 {
+		m := w.Members(time.Now())[i]
+		m.Phase = "Gone"
+		made = append(made, time.Now())
+		revision := c.change(m)
+		until(t, "all agents have the change", func() bool {
+			l := f.Stats().Lists
+			return len(l) == i+1 && !slices.Contains(l[i].At, 0) && l[i].Revision == revision
+		})
+	}
+	for i, l := range f.Stats().Lists {
+		for a, at := range l.At {
+			if took := time.Duration(at - made[i].UnixNano()); took < 0 || took > grebefork.ToldFailed {
+				t.Errorf("revision %d at agent %d: after %v", l.Revision, a, took)
+			}
+		}
+	}
+	for _, a := range f.agents {
+		a.shard.do(func() {
+			if n := a.servers.Len(); n != len(w.Servers)-3 || len(a.targets) != n {
+				t.Errorf("agent %d knows %d servers and where %d are", a.place, n, len(a.targets))
+			}
+		})
+	}
+	if n := c.asked() - asked; n != 0 {
+		t.Errorf("%d whole lists were asked for", n)
+	}
+}
+
+// An agent that starts again with the list that it held asks for its changes only; one that forgot it asks for the whole
+// list once.
+func TestRestart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		forget bool
+		whole  int
+	}{{"known", false, 0}, {"forgotten", true, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := tinyWorld(t, nil)
+			f, ctl := started(t, w, nil)
+			restart := []int{0, 3, 11}
+			ctl.afterWatches(t, everyone(w), 1, func() {})
+			asked := ctl.asked()
+			ctl.afterWatches(t, restart, 2, func() {
+				if err := f.Step(world.Step{Event: -1, Restart: restart, Forget: c.forget}); err != nil {
+					t.Error(err)
+				}
+			})
+			if n := ctl.asked() - asked; n != c.whole*len(restart) {
+				t.Errorf("%d whole lists were asked for", n)
+			}
+			until(t, "all hold the list", func() bool { return f.ready() == len(w.Agents) })
+			for _, a := range f.agents {
+				a.shard.do(func() {
+					if again := slices.Contains(restart, a.place); again != (a.life > 1) || !a.ready {
+						t.Errorf("agent %d: life %d, ready %v", a.place, a.life, a.ready)
+					}
+				})
+			}
+		})
+	}
+}
+
+// A revision of the configuration is adopted by every agent, at times that are noted and no sooner than its turn at the
+// source; an agent that cannot use it keeps the old one and is counted. None asks for more than one whole list.
+func TestConfigurationInForce(t *testing.T) {
+	w := tinyWorld(t, nil)
+	const bad, push = 5, 2 * time.Millisecond
+	f, c := started(t, w, func(o *Options) {
+		o.Text = func(agent int, opt world.ConfigOptions) []byte {
+			text := w.Config(agent, opt)
+			if agent == bad && opt.Revision == 2 {
+				text = bytes.Replace(text, []byte(`"maxAttempts":`), []byte(`"most":`), 1)
+			}
+			return text
+		}
+	})
+	f.Begin()
+	asked := c.asked()
+	for _, revision := range []int{1, 2} {
+		f.Configure(revision, push)
+	}
+	c.afterWatches(t, everyone(w), 1, func() {
+		until(t, "both handed out", func() bool {
+			r := f.Stats().Configs
+			return len(r) == 2 && r[1].Rejected == 1 && !slices.ContainsFunc(everyone(w), func(a int) bool {
+				return a != bad && r[1].At[a] == 0
+			})
+		})
+	})
+	r := f.Stats()
+	for i, conf := range r.Configs {
+		if conf.Revision != i+1 || conf.Rejected != i {
+			t.Errorf("%+v", conf)
+		}
+		for a, at := range conf.At {
+			if refused := i == 1 && a == bad; refused != (at == 0) || !refused && at < conf.Began+int64(a)*int64(push) {
+				t.Errorf("revision %d at agent %d: %v after it began", conf.Revision, a, time.Duration(at-conf.Began))
+			}
+		}
+	}
+	for _, a := range f.agents {
+		want := 2
+		if a.place == bad {
+			want = 1
+		}
+		deadline := time.Duration(w.Scenario.Classes[w.Services[w.Classes(a.place, false)[0]].Class].DeadlineMS*1000+float64(want)) * time.Microsecond
+		if got := a.set.Load().Module.Classes[0].Deadline; got != deadline {
+			t.Errorf("agent %d: deadline %v, want %v", a.place, got, deadline)
+		}
+	}
+	if n := r.Control.ConfInForce.N; n != int64(2*len(w.Agents)-1) {
+		t.Errorf("%d times", n)
+	}
+	if n := c.asked() - asked; n > 2*len(w.Agents)-1 {
+		t.Errorf("%d whole lists were asked for, by %d agents for two revisions", n, len(w.Agents))
+	}
+}
+
+// While the deepest service fails its callers try again, up to their budgets; what failed is counted apart, and no call
+// with an effect is sent twice.
+func TestFailingDeepService(t *testing.T) {
+	w := tinyWorld(t, func(s *scenario.Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Share = 1 / float64(len(s.Classes))
+		}
+	})
+	f, _ := started(t, w, nil)
+	f.Begin()
+	until(t, "800 calls in peace", func() bool { return f.tally().Roots[peace] >= 800 })
+	yes, no := true, false
+	if err := f.Step(world.Step{Event: -1, Fail: &yes}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "800 calls meanwhile", func() bool { return f.tally().Roots[failing] >= 800 })
+	if err := f.Step(world.Step{Event: -1, Fail: &no}); err != nil {
+		t.Fatal(err)
+	}
+	before := f.tally().Roots[peace]
+	until(t, "300 calls after", func() bool { return f.tally().Roots[peace] >= before+300 })
+	r := f.Stats()
+	deepest := r.Depths[len(r.Depths)-1]
+	most := 1 + w.Scenario.Agent.RetryRatio + w.Scenario.Agent.RetryFloor // attempts for each call, however few they are
+	if deepest.Amplification <= 1 || deepest.Amplification > most {
+		t.Errorf("amplified by %.2f: %+v", deepest.Amplification, deepest)
+	}
+	if deepest.FailOK >= deepest.FailCalls*9/10 || deepest.FailAttempts <= deepest.FailCalls*11/10 {
+		t.Errorf("%+v", deepest)
+	}
+	if r.FailRoots < 800 || r.Doubled != 0 {
+		t.Errorf("%d roots meanwhile, %d calls doubled", r.FailRoots, r.Doubled)
+	}
+	if r.Again[grebefork.Pure] == 0 {
+		t.Error("no pure call was tried again")
+	}
+}
+
+// A server whose process has died is left alone, and one whose machine has vanished is too, with its agent, which comes
+// back with it; calls go on.
+func TestServersComeAndGo(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent bool
+	}{{"died", false}, {"vanished", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := tinyWorld(t, nil)
+			f, _ := started(t, w, nil)
+			f.Begin()
+			down := w.Services[w.Deepest].Servers[0]
+			if err := f.Step(world.Step{Event: -1, Down: []int{down}, Silent: c.silent}); err != nil {
+				t.Fatal(err)
+			}
+			beside := f.byPlace[w.AgentOf(down)]
+			beside.shard.do(func() {
+				if beside.up == c.silent {
+					t.Errorf("its agent runs: %v", beside.up)
+				}
+			})
+			begun := f.tally().Roots[peace]
+			until(t, "1000 calls", func() bool { return f.tally().Roots[peace] >= begun+1000 })
+			if err := f.Step(world.Step{Event: -1, Up: []int{down}, Cold: true, Restart: []int{beside.place}}); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "all hold the list", func() bool { return f.ready() == len(w.Agents) })
+			s := f.servers[down]
+			s.shard.do(func() {
+				if s.state != serving || s.start == 0 || s.warmth() >= 1 {
+					t.Errorf("state %d, start %v, warmth %v", s.state, s.start, s.warmth())
+				}
+			})
+			r := f.Stats()
+			if served := float64(r.Depths[0].OK) / float64(r.Roots); served < 0.9 || r.Doubled != 0 {
+				t.Errorf("%.2f served, %d doubled", served, r.Doubled)
+			}
+		})
+	}
+}
+
+// Nothing of a fleet runs on after its end, whatever its agents were doing.
+func TestCloseEndsAll(t *testing.T) {
+	w := tinyWorld(t, nil)
+	c := newControl(t, w)
+	runtime.GC()
+	before := runtime.NumGoroutine()
+	f, err := Start(t.Context(), Options{World: w, Agents: everyone(w), Discovery: c.addrs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Step(world.Step{Event: -1, Restart: everyone(w)}); err != nil {
+		t.Fatal(err)
+	}
+	f.Configure(1, time.Millisecond)
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the goroutines end", func() bool { return runtime.NumGoroutine() <= before })
+	if err := f.Step(world.Step{Event: -1, Restart: everyone(w)}); err != nil {
+		t.Error(err)
+	}
+	if f.agents[0].running != nil || runtime.NumGoroutine() > before {
+		t.Error("an agent runs after the end")
+	}
+}
+
+// Options that cannot be used are named.
+func TestOptions(t *testing.T) {
+	w := tinyWorld(t, nil)
+	for want, change := range map[string]func(*Options){
+		"relays of agent 1": func(o *Options) { o.Relays = [][]string{nil, {"127.0.0.1:2"}} },
+		"agent 99 of 24":    func(o *Options) { o.Agents = []int{99} },
+		"hollow agent 0":    func(o *Options) { o.Text = func(int, world.ConfigOptions) []byte { return []byte("{}") } },
+	} {
+		o := Options{World: w, Agents: []int{0}, Discovery: []string{"127.0.0.1:1"}}
+		change(&o)
+		if _, err := Start(t.Context(), o); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/model_test.go
@@ -0,0 +1,279 @@
+package hollow
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/config"
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/scale/scenario"
+	"example.org/grebefork/internal/scale/world"
+	"example.org/grebefork/internal/settings"
+)
+
+// jumping is a clock that stands still until somebody waits.
+type jumping struct{ now time.Duration }
+
+func (c *jumping) Now() time.Duration                          { return c.now }
+func (c *jumping) Wait(until time.Duration, _ <-chan struct{}) { c.now = max(c.now, until) }
+
+// model is a fleet of one shard in a test's hands, with a clock that jumps and no discovery.
+type model struct {
+	*Fleet
+	clock *jumping
+}
+
+func newModel(t *testing.T, change func(*scenario.Scenario)) *model {
+	t.Helper()
+	w := tinyWorld(t, change)
+	clock := &jumping{time.Duration(time.Now().UnixNano())}
+	addrs := slices.Repeat([]string{"127.0.0.1:1"}, len(w.Agents))
+	f, err := build(Options{World: w, Agents: everyone(w), Discovery: addrs, Shards: 1, Clock: clock})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.shards[0].counts.From = clock.now
+	f.shards[0].now = clock.now
+	for _, a := range f.agents {
+		a.roots = 0 // calls are the test's
+	}
+	return &model{f, clock}
+}
+
+// listed begins an agent as a process that holds the list.
+func (m *model) listed(t *testing.T, place int) *agent {
+	t.Helper()
+	a := m.byPlace[place]
+	cfg, err := config.Parse(m.world.Config(place, world.ConfigOptions{Listen: listenNowhere, Discovery: "127.0.0.1:1"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := grebefork.New(cfg.Settings.Module, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.begin(cfg, b, func() {})
+	a.told(a.life, discovery.News{Mode: grebefork.ListFull, Members: m.world.Members(time.Now()), Revision: 1})
+	return a
+}
+
+// run plays what is due until a time.
+func (m *model) run(until time.Duration) {
+	s := m.shards[0]
+	for len(s.queue.events) > 0 && s.queue.events[0].due <= until {
+		m.clock.Wait(s.queue.events[0].due, nil)
+		s.batch()
+	}
+	m.clock.Wait(until, nil)
+	s.now = m.clock.now
+}
+
+// attempt is one by an agent at a server, that nobody else knows of.
+func (m *model) attempt(a *agent, to *server, deadline time.Duration) *job {
+	c := &call{request: request{service: to.service, phase: peace}, agent: a, life: a.life, deadline: deadline}
+	j := &job{call: c, server: to, deadline: deadline}
+	c.attempts, c.out = []*job{j}, 1
+	return j
+}
+
+// What is due comes in its order, and what is due at once as it was heard of.
+func TestQueueOrder(t *testing.T) {
+	var q queue
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 2000 {
+		q.push(event{due: time.Duration(rng.IntN(50)), token: uint64(i)})
+		if i%3 == 0 {
+			q.pop()
+		}
+	}
+	last := event{due: -1}
+	for n := len(q.events); n > 0; n-- {
+		ev := q.pop()
+		if ev.due < last.due || ev.due == last.due && ev.token <= last.token {
+			t.Fatalf("%v %d after %v %d", ev.due, ev.token, last.due, last.token)
+		}
+		last = ev
+	}
+	if len(q.events) != 0 {
+		t.Errorf("%d are left", len(q.events))
+	}
+}
+
+// A server works on as many requests as it has slots, lets as many wait as it has room for, and turns others away; those
+// that nobody waits for any more it does not begin.
+func TestServerHoldsItsBounds(t *testing.T) {
+	m := newModel(t, func(s *scenario.Scenario) { s.Fleet.Slots, s.Fleet.QueueSlots = 2, 3 })
+	a, to := m.listed(t, 0), m.servers[m.world.Services[m.world.Deepest].Servers[0]]
+	begun := m.clock.now
+	var jobs []*job
+	for range 7 {
+		jobs = append(jobs, m.attempt(a, to, begun+time.Hour))
+	}
+	jobs[3].deadline = begun + 1 // it waits, but not long
+	for _, j := range jobs {
+		to.arrive(j)
+	}
+	if r := to.report(); r.inFlight != 5 || r.queue != 3 || to.busy != 2 {
+		t.Errorf("holds %+v", r)
+	}
+	m.run(begun + time.Minute)
+	for i, j := range jobs {
+		want := grebefork.OK
+		if i == 3 || i > 4 {
+			want = grebefork.Full
+		}
+		if !j.over || j.how != want {
+			t.Errorf("attempt %d: over %v, %v, want %v", i, j.over, j.how, want)
+		}
+	}
+	if r := to.report(); r.inFlight != 0 || len(to.open) != 0 || r.recent <= 0 {
+		t.Errorf("holds %+v, %d open", r, len(to.open))
+	}
+}
+
+// What becomes of an attempt says the state of its server and of the network.
+func TestOutcomes(t *testing.T) {
+	yes := true
+	for _, c := range []struct {
+		name string
+		step world.Step // before it is sent
+		then world.Step // when it is at the server
+		back bool
+		want grebefork.Outcome
+	}{
+		{"served", world.Step{}, world.Step{}, true, grebefork.OK},
+		{"died before", world.Step{Down: []int{-1}}, world.Step{}, true, grebefork.ConnectFailed},
+		{"died meanwhile", world.Step{}, world.Step{Down: []int{-1}}, true, grebefork.Reset},
+		{"vanished before", world.Step{Down: []int{-1}, Silent: true}, world.Step{}, false, 0},
+		{"vanished meanwhile", world.Step{}, world.Step{Down: []int{-1}, Silent: true}, false, 0},
+		{"fails", world.Step{Fail: &yes}, world.Step{}, true, grebefork.Error},
+		{"cut off", world.Step{CutRegions: &yes}, world.Step{}, false, 0},
+		{"cut off meanwhile", world.Step{}, world.Step{CutRegions: &yes}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(t, nil)
+			to := m.servers[m.world.Services[m.world.Deepest].Servers[0]]
+			from := slices.IndexFunc(m.servers, func(s *server) bool { return s.region != to.region && s.agent != nil })
+			a := m.listed(t, m.servers[from].agent.place)
+			play := func(st world.Step) {
+				for i := range st.Down {
+					st.Down[i] = to.place
+				}
+				m.play(st)
+			}
+			play(c.step)
+			j := m.attempt(a, to, m.clock.now+time.Hour)
+			m.shards[0].travel(a.server, to, event{kind: arrives, due: m.clock.now, job: j})
+			m.run(m.clock.now + m.delay(a.server, to))
+			play(c.then)
+			m.run(m.clock.now + time.Minute)
+			if j.over != c.back || j.over && j.how != c.want {
+				t.Errorf("back %v with %v, want %v with %v", j.over, j.how, c.back, c.want)
+			}
+			if a.shard.post(a.shard, event{due: j.deadline, kind: timedOut, job: j}); !c.back {
+				m.run(j.deadline + time.Second)
+				if !j.over || j.how != grebefork.Timeout {
+					t.Errorf("at its deadline: over %v with %v", j.over, j.how)
+				}
+			}
+		})
+	}
+}
+
+// play does what Step does to the model, in the shard's own place.
+func (m *model) play(st world.Step) {
+	m.flags(st)
+	for _, i := range st.Down {
+		m.servers[i].goDown(gone(st))
+	}
+}
+
+// When a caller has gone, what waits for its server is dropped at once, and so is the call that it waits for; its slot is
+// free when its own part is done.
+func TestCancelled(t *testing.T) {
+	m := newModel(t, func(s *scenario.Scenario) { s.Fleet.Slots = 1 })
+	layer1 := m.world.Services[m.world.Servers[0].Service].Calls[0].Service
+	to := m.servers[m.world.Services[layer1].Servers[0]]
+	a := m.listed(t, 0)
+	m.listed(t, to.agent.place)
+	first, second := m.attempt(a, to, m.clock.now+time.Hour), m.attempt(a, to, m.clock.now+time.Hour)
+	to.arrive(first)
+	to.arrive(second)
+	to.cancel(second)
+	if second.state != done || len(to.queue) != 0 {
+		t.Errorf("state %d, %d wait", second.state, len(to.queue))
+	}
+	to.cancel(first)
+	if first.state != left || to.busy != 1 {
+		t.Errorf("state %d, %d busy", first.state, to.busy)
+	}
+	m.run(m.clock.now + time.Minute)
+	if to.busy != 0 || first.over || second.over {
+		t.Errorf("%d busy, heard of %v and %v", to.busy, first.over, second.over)
+	}
+	third := m.attempt(a, to, m.clock.now+time.Hour)
+	third.state, third.life = calling, to.life
+	to.open[third] = struct{}{}
+	third.child = to.agent.request(request{
+		service: m.world.Services[layer1].Calls[0].Service, left: time.Second, phase: peace, parent: third,
+	})
+	if r := to.report(); r.inFlight != 1 || r.queue != 0 {
+		t.Errorf("holds %+v", r)
+	}
+	to.cancel(third)
+	if !third.child.ended || third.state != done || to.busy != 0 || to.report().inFlight != 0 {
+		t.Errorf("its call ended: %v, state %d, %d busy", third.child.ended, third.state, to.busy)
+	}
+	m.run(m.clock.now + time.Minute)
+	if n := len(to.agent.requests); n != 0 {
+		t.Errorf("its agent knows %d requests", n)
+	}
+}
+
+// An agent holds so many requests and no more; those that are over it forgets.
+func TestOpenRequestsAreBounded(t *testing.T) {
+	m := newModel(t, func(s *scenario.Scenario) { s.Fleet.Slots, s.Fleet.QueueSlots = 4096, 4096 })
+	a := m.listed(t, 0)
+	calls := m.world.Services[a.server.service].Calls
+	for range mostOpen + 100 {
+		a.request(request{service: calls[0].Service, left: time.Second, phase: peace, root: true})
+		if len(a.requests) > mostOpen {
+			t.Fatalf("%d open", len(a.requests))
+		}
+	}
+	m.run(m.clock.now + time.Minute)
+	if len(a.requests) != 0 {
+		t.Errorf("%d open at the end", len(a.requests))
+	}
+	d := m.shards[0].counts.depth(peace, 1)
+	if d.Calls != mostOpen+100 || d.OK+d.Failed+d.Refused != d.Calls || d.Refused < 100 {
+		t.Errorf("%+v", d)
+	}
+}
+
+// A report's figures go by the names that the settings list.
+func TestReportFields(t *testing.T) {
+	r := report{known: true, inFlight: 5, queue: 2, recent: 3.5}
+	for _, c := range []struct {
+		how    grebefork.ReportMode
+		fields []string
+		want   grebefork.Load
+	}{
+		{grebefork.ReportsOff, []string{"outstanding"}, settings.NoLoad()},
+		{grebefork.ReportsInline, nil, settings.NoLoad()},
+		{grebefork.ReportsInline, []string{"odd"}, settings.NoLoad()},
+		{grebefork.ReportsInline, []string{"backlog", "odd"}, grebefork.Load{Known: true, InFlight: -1, Queue: 2, Recent: -1}},
+		{
+			grebefork.ReportsInline, []string{"outstanding", "recent_ms"},
+			grebefork.Load{Known: true, InFlight: 5, Queue: -1, Recent: 3500 * time.Microsecond},
+		},
+	} {
+		set := &settings.Settings{ReportFields: c.fields, Module: grebefork.Settings{Reports: c.how}}
+		if got := r.load(set); got != c.want {
+			t.Errorf("%v %v: %+v, want %+v", c.how, c.fields, got, c.want)
+		}
+	}
+}
