Offer the hollow agents as a part of a scale run

Cause: a run starts its parts as processes and calls them over pipes.

Change: Main serves Hollow.Start, Step, Config, Begin and Stats. A step crosses the pipes as JSON: gob leaves out what points to a zero value, so that a step which ends a failure or a cut would say nothing at the other side.

Ruled out: values instead of pointers in world.Step, as most steps leave these as they are.

--- /dev/null
+++ b/internal/scale/hollow/role.go
@@ -0,0 +1,136 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"example.org/grebefork/internal/scale/role"
+	"example.org/grebefork/internal/scale/scenario"
+	"example.org/grebefork/internal/scale/world"
+)
+
+// StartArgs say what the part runs. The world is drawn from the scenario, as in every other part.
+type StartArgs struct {
+	Scenario  scenario.Scenario
+	Echo      []string // addresses of the echo servers
+	Agents    []int    // those that are hollow, by their places in the world
+	Discovery []string // host and port, by agent of the world
+	Relays    [][]string
+	Begin     int64 // Unix ns before which no call begins at the root; 0: as soon as its agent has the list
+}
+
+// StartReply says how many agents hold the list.
+type StartReply struct{ Ready int }
+
+// StepArgs hold one step of the world's events.
+type StepArgs struct{ Step world.Step }
+
+// GobEncode writes a step as JSON. Danger: gob leaves out what points to a zero value, and a step that ends a failure or a
+// cut would say nothing.
+func (a StepArgs) GobEncode() ([]byte, error) { return json.Marshal(a.Step) }
+
+// GobDecode reads what GobEncode wrote.
+func (a *StepArgs) GobDecode(text []byte) error { return json.Unmarshal(text, &a.Step) }
+
+// ConfigArgs hold one revision of the configuration and how long handing it to one agent takes the source.
+type ConfigArgs struct {
+	Revision int
+	PushMS   float64
+}
+
+// StatsArgs ask for what was measured.
+type StatsArgs struct{}
+
+// errNotStarted is the answer to whatever comes before Start.
+var errNotStarted = errors.New("hollow: not started")
+
+// Service offers a fleet as the part "hollow".
+type Service struct {
+	mu    sync.Mutex
+	fleet *Fleet
+}
+
+// Main is the part's program: it serves until its input ends, and with it the process.
+func Main() error {
+	s := new(Service)
+	err := role.Serve("Hollow", s)
+	if f, started := s.started(); started == nil {
+		err = errors.Join(err, f.Close())
+	}
+	return err
+}
+
+func (s *Service) started() (*Fleet, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fleet == nil {
+		return nil, errNotStarted
+	}
+	return s.fleet, nil
+}
+
+// Start starts the agents, once, and returns when they hold the list, or after a minute.
+func (s *Service) Start(args StartArgs, reply *StartReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fleet != nil {
+		return errors.New("hollow: started already")
+	}
+	w, err := world.Draw(&args.Scenario)
+	if err != nil {
+		return err
+	}
+	if len(args.Echo) > 0 {
+		w.AddEcho(args.Echo)
+	}
+	s.fleet, err = Start(context.Background(), Options{
+		World: w, Agents: args.Agents, Discovery: args.Discovery, Relays: args.Relays, Begin: args.Begin,
+	})
+	if err != nil {
+		return err
+	}
+	*reply = StartReply{Ready: s.fleet.ready()}
+	return nil
+}
+
+// Step plays one step. It returns when the agents that it starts are up, not when they hold the list.
+func (s *Service) Step(args StepArgs, _ *struct{}) error {
+	f, err := s.started()
+	if err != nil {
+		return err
+	}
+	return f.Step(args.Step)
+}
+
+// Config has a revision handed to each agent in turn, and does not wait for that.
+func (s *Service) Config(args ConfigArgs, _ *struct{}) error {
+	f, err := s.started()
+	if err != nil {
+		return err
+	}
+	f.Configure(args.Revision, time.Duration(args.PushMS*float64(time.Millisecond)))
+	return nil
+}
+
+// Begin begins the measured part: what is counted starts from 0.
+func (s *Service) Begin(_ struct{}, _ *struct{}) error {
+	f, err := s.started()
+	if err != nil {
+		return err
+	}
+	f.Begin()
+	return nil
+}
+
+// Stats tells what was measured since.
+func (s *Service) Stats(_ StatsArgs, reply *StatsReply) error {
+	f, err := s.started()
+	if err != nil {
+		return err
+	}
+	*reply = f.Stats()
+	return nil
+}
