Let the source of configuration wait for no hollow agent

Cause: the source handed a revision to an agent and waited until that had adopted it and moved its client.

Change: what an agent does with a configuration goes on beside the source. One that an agent takes in after a newer one does not replace it, as a file read again would not.

Ruled out: a queue for each agent. The order of two revisions at one agent is the only thing that it would keep, and the revision's number says that.

--- a/internal/scale/hollow/life.go
+++ b/internal/scale/hollow/life.go
@@ -42,9 +42,7 @@
 	if f.ctx.Err() != nil {
 		return nil
 	}
-	o := world.ConfigOptions{
-		Listen: listenNowhere, Discovery: f.discovery[a.place], Revision: f.source.newest(), Seed: f.world.Scenario.Seed + uint64(a.place),
-	}
+	o := f.options(a, f.source.newest())
 	if !forget {
 		o.Known = f.known(a)
 	}
@@ -80,6 +78,13 @@
 	return nil
 }
 
+// options are what an agent's configuration says of a revision.
+func (f *Fleet) options(a *agent, revision int) world.ConfigOptions {
+	return world.ConfigOptions{
+		Listen: listenNowhere, Discovery: f.discovery[a.place], Revision: revision, Seed: f.world.Scenario.Seed + uint64(a.place),
+	}
+}
+
 // known is the list that an agent holds, as the platform would write it into its configuration; nil if it holds none.
 func (f *Fleet) known(a *agent) (text []byte) {
 	var members []discovery.Member
@@ -137,17 +142,19 @@
 	}
 }
 
-// reload hands a configuration to an agent as its file read again, and puts it in force as the real agent does: its
-// settings first and then discovery's address.
-func (f *Fleet) reload(a *agent, revision int) {
+// reload has an agent take a configuration in as its file read again, and puts it in force as the real agent does: its
+// settings first and then discovery's address. One that comes after a newer one has been in force since that.
+func (f *Fleet) reload(a *agent, revision int, text []byte) {
 	a.process.Lock()
 	defer a.process.Unlock()
-	if a.running == nil {
+	switch {
+	case a.running == nil:
+		return
+	case revision <= a.conf:
+		f.source.inForce(a, revision)
 		return
 	}
-	next, err := config.ParseReload(f.source.make(a.place, world.ConfigOptions{
-		Listen: listenNowhere, Discovery: f.discovery[a.place], Revision: revision, Seed: f.world.Scenario.Seed + uint64(a.place),
-	}), a.cfg)
+	next, err := config.ParseReload(text, a.cfg)
 	if err == nil {
 		a.shard.do(func() { err = a.adopt(&next.Settings) })
 	}
--- a/internal/scale/hollow/source.go
+++ b/internal/scale/hollow/source.go
@@ -15,7 +15,8 @@
 	Rejected int     // agents that could not use it
 }
 
-// source hands configurations to the agents, one after the other, each to one agent at a time.
+// source hands configurations to the agents, one after the other, each to one agent at a time. What an agent does with one
+// takes none of its time.
 type source struct {
 	fleet  *Fleet
 	cpu    otherCPU // what it takes to make the texts
@@ -60,7 +61,8 @@
 				if s.fleet.ctx.Err() != nil {
 					return
 				}
-				s.fleet.reload(a, o.revision)
+				text := s.make(a.place, s.fleet.options(a, o.revision))
+				s.fleet.wait.Go(func() { s.fleet.reload(a, o.revision, text) }) // the source does not wait for it
 			}
 		case <-done:
 			return
