Let hollow agents begin with a known list

Change: the part hollow takes a known list for the first start, as it does for later ones. A fleet that comes back with none stays an event. Measured: TestKnown: no whole list is asked for; go test -race ./internal/scale/hollow: ok, 36 s.

--- a/internal/scale/hollow/fleet.go
+++ b/internal/scale/hollow/fleet.go
@@ -38,8 +38,9 @@
 	Agents    []int    // those that are hollow, by their places in the world
 	Discovery []string // host and port, by agent of the world
 	Relays    [][]string
-	Begin     int64 // Unix ns before which no call begins at the root; 0: as soon as its agent has the list
-	Shards    int   // 0: by the machine's cores
+	Begin     int64  // Unix ns before which no call begins at the root; 0: as soon as its agent has the list
+	Known     []byte // the list that the agents begin with, in discovery's form; nil: none
+	Shards    int    // 0: by the machine's cores
 	Log       *slog.Logger
 	Clock     Clock // nil: the wall's
 
@@ -91,7 +92,7 @@
 		go s.run()
 	}
 	f.wait.Go(f.source.run)
-	if err := f.each(f.agents, func(a *agent) error { return f.begin(a, true) }); err != nil {
+	if err := f.each(f.agents, func(a *agent) error { return f.begin(a, o.Known) }); err != nil {
 		return nil, errors.Join(err, f.Close())
 	}
 	timeout := time.NewTimer(readyWait)
@@ -254,7 +255,12 @@
 		s := f.servers[i]
 		s.shard.do(func() { s.comeUp(st.Cold) })
 	}
-	return f.each(f.named(st.Restart), func(a *agent) error { return f.begin(a, st.Forget) })
+	return f.each(f.named(st.Restart), func(a *agent) error {
+		if st.Forget {
+			return f.begin(a, nil)
+		}
+		return f.begin(a, f.known(a))
+	})
 }
 
 // flags plays what a step says of the whole fleet.
--- a/internal/scale/hollow/hollow_test.go
+++ b/internal/scale/hollow/hollow_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/lists"
 	"example.org/grebefork/internal/scale/scenario"
 	"example.org/grebefork/internal/scale/world"
 )
@@ -87,6 +88,16 @@
 	}
 }
 
+// Agents that begin with a known list ask for its changes only.
+func TestKnown(t *testing.T) {
+	w := tinyWorld(t, nil)
+	f, c := started(t, w, func(o *Options) { o.Known = lists.Encode(1, true, w.Members(time.Now())) })
+	until(t, "all hold the list", func() bool { return f.ready() == len(w.Agents) })
+	if n := c.asked(); n != 0 {
+		t.Errorf("%d whole lists were asked for", n)
+	}
+}
+
 // An agent that starts again with the list that it held asks for its changes only; one that forgot it asks for the whole
 // list once.
 func TestRestart(t *testing.T) {
--- a/internal/scale/hollow/life.go
+++ b/internal/scale/hollow/life.go
@@ -33,9 +33,9 @@
 	conns  conns
 }
 
-// begin starts an agent, or starts it again: with the list that it held, as the platform would hand it, unless it is to
-// forget that.
-func (f *Fleet) begin(a *agent, forget bool) error {
+// begin starts an agent, or starts it again, with the list that it is known to have held, as the platform would hand it;
+// nil if it is to forget that.
+func (f *Fleet) begin(a *agent, known []byte) error {
 	a.process.Lock()
 	defer a.process.Unlock()
 	a.disconnect()
@@ -43,9 +43,7 @@
 		return nil
 	}
 	o := f.options(a, f.source.newest())
-	if !forget {
-		o.Known = f.known(a)
-	}
+	o.Known = known
 	cfg, err := config.Parse(f.source.make(a.place, o))
 	if err != nil {
 		return fmt.Errorf("hollow agent %d: %w", a.place, err)
--- a/internal/scale/hollow/role.go
+++ b/internal/scale/hollow/role.go
@@ -19,7 +19,8 @@
 	Agents    []int    // those that are hollow, by their places in the world
 	Discovery []string // host and port, by agent of the world
 	Relays    [][]string
-	Begin     int64 // Unix ns before which no call begins at the root; 0: as soon as its agent has the list
+	Begin     int64  // Unix ns before which no call begins at the root; 0: as soon as its agent has the list
+	Known     []byte // the list that the agents begin with, in discovery's form; nil: none
 }
 
 // StartReply says how many agents hold the list.
@@ -87,7 +88,7 @@
 		w.AddEcho(args.Echo)
 	}
 	s.fleet, err = Start(context.Background(), Options{
-		World: w, Agents: args.Agents, Discovery: args.Discovery, Relays: args.Relays, Begin: args.Begin,
+		World: w, Agents: args.Agents, Discovery: args.Discovery, Relays: args.Relays, Begin: args.Begin, Known: args.Known,
 	})
 	if err != nil {
 		return err
