Judge a scale run: budgets, hollow figures held against real ones, the text for a person

Cause: a scale run's figures say nothing until they are held against the operators' limits, and the hollow agents' against the real ones'. Change: one table of budgets and one of ratios, each ratio with its factor, a floor and why; a figure that should have been measured and was not is not ok, nor a list or a configuration that an agent never had; what the sizes and events leave no way to measure is left out. What control hears of lists is kept beside what the agents say, as both sorts have only that in common. Measured: go test -race ./internal/scale/run: ok; each line, when its figure is moved past its limit, is named alone. Ruled out: passing a budget by the cheaper sort of agents: the worse one counts. One factor for all ratios: CPU and the configuration's way differ between the sorts for stated reasons, bytes do not.

--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -64,18 +64,24 @@
 	ChangesPerMinute float64 `json:"changes_per_minute"` // of the configuration
 	Seconds          float64 `json:"seconds"`
 	Seed             uint64  `json:"seed"`
+
+	// What was played, without which some figures have nothing to be measured by.
+	ListChanges int `json:"list_changes"`
+	Configs     int `json:"configs"`
+	Failures    int `json:"failures"` // of the deepest service
 }
 
 // AgentControl is what control cost the agents of one sort, hollow or real.
 type AgentControl struct {
 	Agents      int     `json:"agents"`
-	BytesIn     Dist    `json:"bytes_in_per_s"`  // mean of each agent over the run, bytes a second
-	BytesOut    Dist    `json:"bytes_out_per_s"` //
-	Worst6s     Dist    `json:"worst_6s_per_s"`  // of each agent: in and out, bytes a second over its worst 6 s
-	CPUPercent  float64 `json:"cpu_percent"`     // of one core, an agent, for control alone
-	HeapBytes   float64 `json:"heap_bytes"`      // live, an agent; hollow ones
-	RSSBytes    Dist    `json:"rss_bytes"`       // real ones
-	ListInForce Dist    `json:"list_in_force_ms"`
+	BytesIn     Dist    `json:"bytes_in_per_s"`   // mean of each agent over the run, bytes a second
+	BytesOut    Dist    `json:"bytes_out_per_s"`  //
+	Worst6s     Dist    `json:"worst_6s_per_s"`   // of each agent: in and out, bytes a second over its worst 6 s
+	CPUPercent  float64 `json:"cpu_percent"`      // of one core, an agent, for control alone
+	HeapBytes   float64 `json:"heap_bytes"`       // live, an agent; hollow ones
+	RSSBytes    Dist    `json:"rss_bytes"`        // real ones
+	ListInForce Dist    `json:"list_in_force_ms"` // hollow ones by themselves, real ones as ListHeard
+	ListHeard   Dist    `json:"list_heard_ms"`    // as control hears of it, by the agent's next call; both sorts
 	ConfInForce Dist    `json:"config_in_force_ms"`
 	Unheard     int     `json:"unheard"` // pairs of an agent and a change that had not come when the run ended, of those due
 }
@@ -180,7 +186,9 @@
 	Added      Added            `json:"added"`
 	Ratios     []Ratio          `json:"ratios"`
 	Budgets    []Budget         `json:"budgets"`
-	LateTold   int              `json:"late_told"` // changes that the stand-in itself told later than its stated costs explain
+	ModelLagMS Dist             `json:"model_lag_ms"`    // how late modelled calls were handled; what they found is told as of their own time
+	ModelKept  bool             `json:"model_kept_time"` // that was little enough for what is said of calls to hold
+	LateTold   int              `json:"late_told"`       // changes that the stand-in itself told later than its stated costs explain
 	WallSecond float64          `json:"wall_s"`
 	Incomplete string           `json:"incomplete,omitempty"` // why the run was cut short
 }
--- /dev/null
+++ b/internal/scale/run/verdict_test.go
@@ -0,0 +1,133 @@
+package run
+
+import (
+	"bytes"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+// limits are budgets that fine, the run below, keeps.
+var limits = scenario.Budgets{AddedP99MS: 0.58, AgentCPU: 1.6, AgentMemMB: 32, AgentKBps: 23, InForceS: 6, ControlBusy: 5, Attempts: 2}
+
+// fine is a run whose every figure is within its budget and whose hollow figures are those of the real ones.
+func fine() *result.Run {
+	d := func(v float64) result.Dist { return result.Dist{N: 10, Mean: v, P50: v, P99: v, Max: v} }
+	a := result.AgentControl{
+		Agents: 10, BytesIn: d(900), BytesOut: d(300), Worst6s: d(2000), CPUPercent: 0.5, HeapBytes: 2 * mega,
+		ListInForce: d(300), ListHeard: d(320), ConfInForce: d(900),
+	}
+	b := a
+	b.HeapBytes, b.RSSBytes, b.ListInForce = 0, d(20*mega), b.ListHeard
+	return &result.Run{
+		Scenario: "fine", Sizes: result.Sizes{Servers: 20, Agents: 20, Real: 10, Depth: 2, Seconds: 8, ListChanges: 3, Configs: 2, Failures: 1},
+		Hollow: a, Real: b,
+		Control: []result.ControlMachine{{Role: "control", Name: "control", Busy: 0.1, Worst6s: 0.4}, {Role: "source", Name: "source", Worst6s: 0.2}},
+		Depths:  []result.Depth{{Depth: 1, Amplification: 1.2}, {Depth: 2, Amplification: 1.5}},
+		Added:   result.Added{Through: d(0.8), Direct: d(0.4), P99MS: 0.4, CallsEach: 150},
+	}
+}
+
+// judge fills in what Run does at a run's end.
+func judge(r *result.Run, b scenario.Budgets) *result.Run {
+	r.Budgets, r.Ratios = budgets(b, r), hold(r)
+	return r
+}
+
+func TestOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*result.Run)
+		want   []string
+	}{
+		{"nothing", func(*result.Run) {}, nil},
+		{"added", func(r *result.Run) { r.Added.P99MS = 0.59 }, []string{"added_p99"}},
+		{"added, a call failed", func(r *result.Run) { r.Added.Failed = 1 }, nil},
+		{"added, more than one in a hundred failed", func(r *result.Run) { r.Added.Failed = 2 }, []string{"added_p99"}},
+		{"added, not measured", func(r *result.Run) { r.Added = result.Added{} }, []string{"added_p99"}},
+		{"hollow cpu", func(r *result.Run) { r.Hollow.CPUPercent = 1.7 }, []string{"agent_cpu"}},
+		{"cpu, not measured", func(r *result.Run) { r.Hollow.CPUPercent, r.Real.CPUPercent = 0, 0 }, []string{"agent_cpu", "ratio:cpu"}},
+		{"real memory", func(r *result.Run) { r.Real.RSSBytes.Max = 33 * mega }, []string{"agent_memory"}},
+		{"hollow memory", func(r *result.Run) { r.Hollow.HeapBytes = 33 * mega }, []string{"agent_memory"}},
+		{"bytes of one agent's worst 6 s", func(r *result.Run) { r.Real.Worst6s.Max = 23_001 }, []string{"agent_bytes"}},
+		{"last agent's list", func(r *result.Run) { r.Hollow.ListInForce.Max = 6001 }, []string{"in_force_list"}},
+		{"last agent's configuration", func(r *result.Run) { r.Real.ConfInForce.Max = 6001 }, []string{"in_force_config"}},
+		{"a change that never came", func(r *result.Run) { r.Hollow.Unheard = 1 }, []string{"in_force_list", "in_force_config"}},
+		{"lists of one sort not measured", func(r *result.Run) { r.Real.ListInForce = result.Dist{} }, []string{"in_force_list"}},
+		{"stated work of two machines", func(r *result.Run) { r.Control[0].Worst6s, r.Control[1].Worst6s = 3, 2.5 }, []string{"control_machines"}},
+		{"real work of one", func(r *result.Run) { r.Control[0].CPUPercent = 510 }, []string{"control_machines"}},
+		{"attempts at the deepest", func(r *result.Run) { r.Depths[1].Amplification = 2.1 }, []string{"attempts_per_call"}},
+		{"attempts above it", func(r *result.Run) { r.Depths[0].Amplification = 2.1 }, nil},
+		{"hollow bytes too many", func(r *result.Run) { r.Hollow.BytesIn.Mean = 2000 }, []string{"ratio:bytes"}},
+		{"hollow bytes too few", func(r *result.Run) { r.Hollow.BytesIn.Mean = 400 }, []string{"ratio:bytes"}},
+		{"hollow lists late", func(r *result.Run) { r.Hollow.ListHeard.P50 = 1000 }, []string{"ratio:list_in_force"}},
+		{"both below the floor", func(r *result.Run) { r.Hollow.ListHeard.P50, r.Real.ListHeard.P50 = 9, 0.4 }, nil},
+		{"hollow configurations late", func(r *result.Run) { r.Hollow.ConfInForce.P50 = 3700 }, []string{"ratio:config_in_force"}},
+		{"hollow cpu off", func(r *result.Run) { r.Real.CPUPercent, r.Hollow.CPUPercent = 1.1, 0.2 }, []string{"ratio:cpu"}},
+		{"told late", func(r *result.Run) { r.LateTold = 1 }, []string{"late_told"}},
+		{"nothing was started", func(r *result.Run) { r.Hollow, r.Real = result.AgentControl{}, result.AgentControl{} },
+			[]string{"agent_cpu", "agent_memory", "agent_bytes", "in_force_list", "in_force_config"}},
+		{"cut short", func(r *result.Run) { r.Incomplete = "control died" }, []string{"incomplete"}},
+		{"no real agents", func(r *result.Run) { r.Sizes.Real, r.Real, r.Added = 0, result.AgentControl{}, result.Added{} }, nil},
+		{"nothing changed or failed", func(r *result.Run) {
+			r.Sizes.ListChanges, r.Sizes.Configs, r.Sizes.Failures = 0, 0, 0
+			for _, a := range []*result.AgentControl{&r.Hollow, &r.Real} {
+				a.ListInForce, a.ListHeard, a.ConfInForce = result.Dist{}, result.Dist{}, result.Dist{}
+			}
+			r.Depths[1].Amplification = 0
+		}, nil},
+		{"no hollow agents", func(r *result.Run) { r.Sizes.Real, r.Hollow, r.Depths = 20, result.AgentControl{}, nil }, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := fine()
+			c.change(r)
+			if got := Over(judge(r, limits)); !slices.Equal(got, c.want) {
+				t.Errorf("over: %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestBudgetsLeftOut(t *testing.T) {
+	if got := budgets(scenario.Budgets{AgentCPU: 1.6}, fine()); len(got) != 1 || got[0].Name != "agent_cpu" {
+		t.Errorf("with one limit: %+v", got)
+	}
+}
+
+func TestWriteText(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*result.Run)
+		last   string
+	}{
+		{"ok", func(*result.Run) {}, "scale: ok"},
+		{"two over", func(r *result.Run) { r.Hollow.CPUPercent, r.LateTold = 2.5, 3 }, "scale: OVER agent_cpu,ratio:cpu,late_told"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := fine()
+			c.change(r)
+			var out bytes.Buffer
+			if err := WriteText(&out, judge(r, limits)); err != nil {
+				t.Fatal(err)
+			}
+			text := strings.TrimSuffix(out.String(), "\n")
+			if last := text[strings.LastIndexByte(text, '\n')+1:]; last != c.last {
+				t.Errorf("last line %q, want %q", last, c.last)
+			}
+			for _, l := range lines {
+				if !regexp.MustCompile(`(?m)^` + l.name + ` +[0-9.e+-]+ +[0-9.e+-]+ +(ok|OVER)$`).MatchString(text) {
+					t.Errorf("no line of budget %s in:\n%s", l.name, text)
+				}
+			}
+			for _, h := range ratios {
+				if !strings.Contains(text, h.why) {
+					t.Errorf("the factor of %s is not explained", h.name)
+				}
+			}
+		})
+	}
+}
