--- /dev/null
+++ b/internal/scale/sweep/sweep_test.go
@@ -0,0 +1,233 @@
+package sweep
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*max(1, math.Abs(b)) }
+
+func TestFit(t *testing.T) {
+	xs := []float64{50, 100, 200, 400}
+	for _, c := range []struct {
+		name              string
+		of                func(x float64) float64
+		slope, quad, expo float64
+		kinked            bool
+	}{
+		{"line", func(x float64) float64 { return 7 + 3*x }, 3, 0, math.NaN(), false},
+		{"through the origin", func(x float64) float64 { return 3 * x }, 3, 0, 1, false},
+		{"level", func(float64) float64 { return 5 }, 0, 0, 0, false},
+		{"square", func(x float64) float64 { return x * x / 100 }, math.NaN(), 0.01, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var ys []float64
+			for _, x := range xs {
+				ys = append(ys, c.of(x))
+			}
+			f := fit(xs, ys)
+			for name, pair := range map[string][2]float64{"slope": {f.Slope, c.slope}, "quadratic": {f.Quadratic, c.quad}, "exponent": {f.Exponent, c.expo}} {
+				if !math.IsNaN(pair[1]) && !near(pair[0], pair[1]) {
+					t.Errorf("%s %g, want %g", name, pair[0], pair[1])
+				}
+			}
+			if got := f.kinked(ys, 0); got != c.kinked {
+				t.Errorf("kinked: %v, want %v (%+v)", got, c.kinked, f)
+			}
+		})
+	}
+}
+
+func TestNoiseIsNoKink(t *testing.T) {
+	xs, ys := []float64{1, 2, 3, 4}, []float64{10, 13, 13, 10}
+	if f := fit(xs, ys); !f.kinked(ys, 0.1) || f.kinked(ys, 2) {
+		t.Errorf("a bend of %g: kinked %v at noise 0.1, %v at noise 2", f.Bent, f.kinked(ys, 0.1), f.kinked(ys, 2))
+	}
+}
+
+func TestExponentOfFiguresNotAboveZero(t *testing.T) {
+	if e := exponent([]float64{1, 2, 3, 4}, []float64{0, 1, 2, 3}); e != 0 {
+		t.Errorf("exponent %g, want 0", e)
+	}
+}
+
+func base() *scenario.Scenario {
+	s := &scenario.Scenario{Name: "base", Seed: 1, Seconds: 6}
+	s.Fleet = scenario.Fleet{Servers: 40, Services: 8, Real: 4, Depth: 4}
+	s.Control.PerMinute = 10
+	return s
+}
+
+func target() *scenario.Scenario {
+	s := &scenario.Scenario{Name: "target"}
+	s.Fleet = scenario.Fleet{Servers: 830, Services: 130, Depth: 14}
+	s.Control.ChangesDay = 1440
+	return s
+}
+
+// played answers as a fleet would in which bytes grow with agents times changes, and calls are refused past 100 agents.
+func played(_ context.Context, s *scenario.Scenario) (*result.Run, error) {
+	n, c := agentCount(s), s.ChangesPerMinute()
+	r := &result.Run{Scenario: s.Name, Sizes: result.Sizes{Agents: int(n), Seconds: s.Seconds}}
+	r.Hollow = result.AgentControl{Agents: int(n), BytesIn: result.Dist{N: 1, Mean: 100 * c}}
+	m := result.ControlMachine{Role: "control", BytesOut: int64(100 * n * c * s.Seconds), Busy: 0.1}
+	if n > 100 {
+		m.Refused, m.Busy = 3, 0.99
+	}
+	r.Control = []result.ControlMachine{m}
+	return r, nil
+}
+
+func TestSweep(t *testing.T) {
+	w, err := Run(t.Context(), base(), Options{Only: []string{"agents", "changes"}, Target: target(), Play: played})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := w.Figures()
+	for key, want := range map[string]float64{
+		"agents.control_bytes.slope":    1000, // at 10 changes a minute
+		"agents.control_bytes.exponent": 1,
+		"agents.control_bytes.at_20":    20_000,
+		"agents.control_bytes.target":   830_000,
+		"agents.control_bytes.twice":    1_660_000,
+		"changes.agent_bytes_in.slope":  100,
+		"changes.agent_bytes_in.target": 100, // 1440 a day are 1 a minute
+		"joint.control_bytes.base":      40_000,
+		"joint.control_bytes.target":    83_000, // 100 * 830 * 1
+		"joint.control_bytes.twice":     332_000,
+	} {
+		if got, ok := f[key]; !ok || !near(got.Value, want) || got.Unit == "" && !strings.HasSuffix(key, "exponent") || got.Run == "" {
+			t.Errorf("%s: %+v, want %g", key, got, want)
+		}
+	}
+	var text bytes.Buffer
+	if err := w.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"agents=160: control  refused 3 calls", "agents=160: the queue of control  does not drain", "control_bytes"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not in:\n%s", want, text.String())
+		}
+	}
+	file := filepath.Join(t.TempDir(), "figures.json")
+	if err := WriteFigures(file, f); err != nil {
+		t.Fatal(err)
+	}
+	if back, err := Figures(file); err != nil || len(back) != len(f) || back["agents.control_bytes.slope"] != f["agents.control_bytes.slope"] {
+		t.Errorf("the file does not give back what was written: %v", err)
+	}
+}
+
+func TestSweepNamesWhatItLeavesOut(t *testing.T) {
+	failing := func(ctx context.Context, s *scenario.Scenario) (*result.Run, error) {
+		if s.Fleet.Agents == 80 { // of four
+			return nil, errors.New("no such luck")
+		}
+		return played(ctx, s)
+	}
+	w, err := Run(t.Context(), base(), Options{Only: []string{"agents"}, Target: target(), Play: failing})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all := strings.Join(w.Left, "; "); !strings.Contains(all, "agents=80: no such luck") || !strings.Contains(all, "agents: 3 sizes were played, no fit") || len(w.Growth) != 0 {
+		t.Errorf("left out: %s; %d growths", all, len(w.Growth))
+	}
+}
+
+func TestSweepRefuses(t *testing.T) {
+	never := func(context.Context, *scenario.Scenario) (*result.Run, error) {
+		t.Error("a size was played")
+		return nil, errors.New("played")
+	}
+	for _, c := range []struct {
+		name, want string
+		o          Options
+	}{
+		{"dimension", `only: "colour"`, Options{Only: []string{"colour"}}},
+		{"sizes of nothing", `sizes: "colour"`, Options{Sizes: map[string][]float64{"colour": {1, 2, 3, 4}}}},
+		{"too few", "sizes: agents has 3 different sizes", Options{Sizes: map[string][]float64{"agents": {1, 2, 3, 3}}}},
+		{"changes that a run does not tell apart", "sizes: changes: 10 and 12 a minute are both 1 changes in 6 s", Options{Sizes: map[string][]float64{"changes": {10, 12, 20, 40}}}},
+		{"a size that cannot be", "sizes: servers=20: fleet.servers", Options{Check: func(*scenario.Scenario) error { return errors.New("fleet.servers") }}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.o.Play = never
+			if _, err := Run(t.Context(), base(), c.o); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+// TestNoise plays a fleet whose figures wander by themselves: one that grows by less is level, and a bend in it no kink.
+func TestNoise(t *testing.T) {
+	n := 0.0
+	noisy := func(_ context.Context, s *scenario.Scenario) (*result.Run, error) {
+		n = 1 - n
+		r := &result.Run{Sizes: result.Sizes{Seconds: 6}}
+		r.Hollow = result.AgentControl{Agents: 1, CPUPercent: 1 + n/2, BytesIn: result.Dist{N: 1, Mean: 100*agentCount(s) + n}}
+		return r, nil
+	}
+	w, err := Run(t.Context(), base(), Options{Only: []string{"agents"}, Target: target(), Play: noisy})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range w.Growth {
+		switch g.Figure {
+		case "agent_cpu":
+			if !g.Level || g.Kink != "" || g.Target < 1 || g.Target > 1.5 || g.Noise == 0 {
+				t.Errorf("%+v: want it level", g)
+			}
+		case "agent_bytes_in":
+			if g.Level || math.Abs(g.Target-83_000) > 100 {
+				t.Errorf("%+v: want it to grow", g)
+			}
+		}
+	}
+}
+
+func TestDefaultSizes(t *testing.T) {
+	for name, want := range map[string][]float64{
+		"servers": {20, 40, 80, 160}, "agents": {20, 40, 80, 160}, "changes": {0, 10, 20, 40}, "services": {5, 8, 16, 28, 40}, "depth": {1, 3, 4, 5, 7},
+	} {
+		if got := dimension(name).sizes(base()); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestOneSizeMovesAlone(t *testing.T) {
+	for _, d := range Dimensions {
+		s := at(base(), d, 7)
+		if d.Name == "changes" && at(base(), d, 0).ChangesPerMinute() != 0 {
+			t.Error("with no changes there are some")
+		}
+		for _, e := range Dimensions {
+			want := e.get(base())
+			if e.Name == d.Name {
+				want = 7
+			}
+			if got := e.get(s); got != want {
+				t.Errorf("with %s at 7, %s is %g, want %g", d.Name, e.Name, got, want)
+			}
+		}
+	}
+}
+
+func TestAddRun(t *testing.T) {
+	r, _ := played(t.Context(), base())
+	r.Budgets = []result.Budget{{Name: "agent_cpu", Measured: 0.4, Unit: "% of a core"}}
+	all := map[string]Figure{}
+	AddRun(all, "target", r)
+	if all["run.target.agent_bytes_in"].Value != 1000 || all["run.target.budget.agent_cpu"].Value != 0.4 {
+		t.Errorf("figures: %+v", all)
+	}
+}
