--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -188,6 +188,7 @@
 	Budgets    []Budget         `json:"budgets"`
 	ModelLagMS Dist             `json:"model_lag_ms"`    // how late modelled calls were handled; what they found is told as of their own time
 	ModelKept  bool             `json:"model_kept_time"` // that was little enough for what is said of calls to hold
+	NotUp      int              `json:"not_up"`          // restarts of real agents after which one was not up in its time
 	LateTold   int              `json:"late_told"`       // changes that the stand-in itself told later than its stated costs explain
 	WallSecond float64          `json:"wall_s"`
 	Incomplete string           `json:"incomplete,omitempty"` // why the run was cut short
--- a/internal/scale/run/text.go
+++ b/internal/scale/run/text.go
@@ -11,7 +11,7 @@
 )
 
 // Over names what keeps a run from being ok: budgets that are exceeded or were not measured, ratios off their factor,
-// changes that the stand-in told late by its own clock, and a run that was cut short.
+// changes that the stand-in told late by its own clock, real agents that were not up after a restart, and a run that was cut short.
 func Over(r *result.Run) []string {
 	var names []string
 	for _, b := range r.Budgets {
@@ -27,6 +27,9 @@
 	if r.LateTold > 0 {
 		names = append(names, "late_told")
 	}
+	if r.NotUp > 0 {
+		names = append(names, "not_up")
+	}
 	if r.Incomplete != "" {
 		names = append(names, "incomplete")
 	}
@@ -61,6 +64,9 @@
 	if r.LateTold > 0 {
 		fmt.Fprintf(out, "late_told %d 0 OVER\n", r.LateTold)
 	}
+	if r.NotUp > 0 {
+		fmt.Fprintf(out, "not_up %d 0 OVER\n", r.NotUp)
+	}
 	if names := Over(r); len(names) > 0 {
 		fmt.Fprintf(out, "scale: OVER %s\n", strings.Join(names, ","))
 	} else {
--- a/internal/scale/run/verdict_test.go
+++ b/internal/scale/run/verdict_test.go
@@ -71,6 +71,7 @@
 		{"told late", func(r *result.Run) { r.LateTold = 1 }, []string{"late_told"}},
 		{"nothing was started", func(r *result.Run) { r.Hollow, r.Real = result.AgentControl{}, result.AgentControl{} },
 			[]string{"agent_cpu", "agent_memory", "agent_bytes", "in_force_list", "in_force_config"}},
+		{"not up", func(r *result.Run) { r.NotUp = 1 }, []string{"not_up"}},
 		{"cut short", func(r *result.Run) { r.Incomplete = "control died" }, []string{"incomplete"}},
 		{"no real agents", func(r *result.Run) { r.Sizes.Real, r.Real, r.Added = 0, result.AgentControl{}, result.Added{} }, nil},
 		{"nothing changed or failed", func(r *result.Run) {
