--- /dev/null
+++ b/cmd/scale/bend.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+// bend makes what the file says, and no flag does, go with the flags: fewer servers carry fewer services, which are less
+// deep, and a shorter run has the events that end in it. It returns what it changed, for people. Flags that do not go
+// together are left as they are, for the scenario's own checks to name.
+func bend(s *scenario.Scenario, z *sizes) (notes []string) {
+	lower := func(field string, v *int, flag *int, most int) {
+		if flag == nil && most >= 1 && *v > most {
+			notes = append(notes, fmt.Sprintf("%s: %d instead of the file's %d, to go with the flags", field, most, *v))
+			*v = most
+		}
+	}
+	servers, services := given(z.Servers, s.Fleet.Servers), given(z.Services, s.Fleet.Services)
+	if z.Depth != nil && z.Services == nil && services < *z.Depth+1 && *z.Depth+1 <= servers {
+		notes = append(notes, fmt.Sprintf("fleet.services: %d instead of the file's %d, to go with the flags", *z.Depth+1, services))
+		s.Fleet.Services = *z.Depth + 1
+	}
+	lower("fleet.services", &s.Fleet.Services, z.Services, servers)
+	services = given(z.Services, s.Fleet.Services)
+	lower("fleet.depth", &s.Fleet.Depth, z.Depth, services-1)
+	agents := given(z.Agents, s.Fleet.Agents)
+	if agents == 0 {
+		agents = servers
+	}
+	lower("fleet.real", &s.Fleet.Real, z.Real, agents)
+	if z.Seconds != nil {
+		s.Events = slices.DeleteFunc(s.Events, func(e scenario.Event) bool {
+			late := s.EventEnd(e) > *z.Seconds
+			if late {
+				notes = append(notes, fmt.Sprintf("events: %s at %g s is left out, the run is over before it", e.Kind, e.AtS))
+			}
+			return late
+		})
+	}
+	for i := range s.Events {
+		e := &s.Events[i]
+		switch e.Kind {
+		case "restart":
+			lower(fmt.Sprintf("events[%d].count", i), &e.Count, nil, agents)
+		case "replace", "machine":
+			lower(fmt.Sprintf("events[%d].count", i), &e.Count, nil, servers)
+		}
+	}
+	return notes
+}
+
+// given is a flag's value, or the file's where there is no flag.
+func given(flag *int, file int) int {
+	if flag != nil {
+		return *flag
+	}
+	return file
+}
