--- a/internal/scale/scenario/scenario_test.go
+++ b/internal/scale/scenario/scenario_test.go
@@ -153,7 +153,7 @@
 	for name, want := range map[string]struct{ servers, services, real, depth, events int }{
 		"target": {830, 130, 40, 14, 12},
 		"small":  {60, 12, 4, 4, 3},
-		"tiny":   {16, 4, 2, 3, 2},
+		"tiny":   {16, 4, 2, 3, 3},
 	} {
 		s, err := scenario.Load("../../../deploy/scale/" + name + ".toml")
 		if err != nil {
