Take a reload that names the same address for no move of discovery

Cause: a configuration names discovery's address each time it is reloaded, and the client took that for a move: it broke off its watch, dropped the revision and asked for the whole list. At 830 agents and 830 lines that is 104 MB a change.

Change: Client.Run passes over a move to where it is. If the settings now have lists asked for, or no longer, the calls are made anew as before, but with the revision held; what the broken watch would have told counts as missed from then on. Another address still drops the revision and counts by ToldMoved.

Ruled out: leaving the move out where the agent reloads. The client would then not hear that its settings have it ask otherwise, and would wait for a module that has nothing to ask for.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -182,22 +182,42 @@
 	for {
 		here, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
+		asked := d.ask()
 		go func() {
 			d.followList(here)
 			close(left)
 		}()
-		select {
-		case addr := <-moves:
-			leave()
-			<-left
+		addr, ok := d.moved(ctx, moves, asked)
+		leave()
+		if !ok {
+			return
+		}
+		<-left
+		d.failures = 0
+		if addr == d.addr {
+			d.missed(time.Now().Add(grebefork.ToldFailed)) // until then the watch would have told
+		} else {
 			// The new service counts revisions of its own, so its whole list comes first.
-			d.addr, d.revision, d.failures, d.told = addr, nil, 0, time.Now().Add(grebefork.ToldMoved)
-			if d.ask() {
-				d.askAgain(d.left())
+			d.addr, d.revision, d.told = addr, nil, time.Now().Add(grebefork.ToldMoved)
+		}
+		if d.ask() {
+			d.askAgain(d.left())
+		}
+	}
+}
+
+// moved waits for the next reload that the calls are to begin anew for: with another address, or with settings by which
+// they are made otherwise, asked for or not. It is false if the context ends first. Danger: each configuration that is
+// reloaded names the address again. Were that a move, all agents would ask for the whole list at each of them.
+func (d *Client) moved(ctx context.Context, moves <-chan string, asked bool) (addr string, ok bool) {
+	for {
+		select {
+		case addr = <-moves:
+			if addr != d.addr || d.ask() != asked {
+				return addr, true
 			}
 		case <-ctx.Done():
-			leave()
-			return
+			return "", false
 		}
 	}
 }
