Let agents have the list through relays, and discovery itself last

Cause: hundreds of agents that call one service cannot all hear within 6 s (docs/design.md, the relay of lists).

Change: key `relays` of the configuration, five at most, checked with the place named and reloaded; absent or empty, nothing changes. The client orders them by rendezvous of its agent's name and the address (FNV-1a and a finalizer), goes to the next one at once when a call fails, and to discovery itself last; out of its turn it leaves that one to the module, as the agents of relays that are lost together would ask it together. All bounds derive from ToldFailed: a watch at a relay 2 s, a dial 0.3 s, a call 1 s, 2 s for a whole list, and as a relay may be 2 s behind, what a call there missed counts as told 4 s later, not 6. A 503 with Retry-After is heeded once. Who is away tries its first relay once a minute at most. Run's moves are now Places, an address and its relays; other relays alone keep the revision.

Measured: 830 names of three forms at five relays: the most loaded has less than 1.25 of the mean, and a lost one's agents spread over the others without anyone else moving.

Ruled out: FNV without a finalizer (addresses differ in their last letters only); asking discovery at once when no relay answers (830 calls of 5.9 ms are 4.9 s of work, and it drops what waits a second); an age in the relay's answers instead of a bound that both know (a second protocol).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,7 +41,7 @@
 )
 
 // Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
-// reloaded it takes the settings and discovery's address.
+// reloaded it takes the settings and the addresses of discovery and its relays.
 func Run(ctx context.Context, cfg *config.Config, reloads <-chan config.Reloaded, log *slog.Logger) error {
 	return serve(ctx, cfg, reloads, func() (*net.TCPListener, error) {
 		return listen(ctx, cfg.Listen, cfg.Console != "")
@@ -86,6 +86,7 @@
 	}
 	d := discovery.New(discovery.Options{
 		Addr: cfg.Discovery, Settings: l.set.Load, Tell: tell, Count: pool.counts.called, Log: log,
+		Name: cfg.Name, Relays: cfg.Relays,
 	})
 	d.StartFrom(cfg.Known)
 	l.follow = d.Ask
@@ -108,7 +109,7 @@
 		defer beside.close()
 		defer pool.resize(0) // before that: the other process takes the link's end for the end of all that this one holds
 	}
-	moves := make(chan string)
+	moves := make(chan discovery.Place)
 	go l.run(work)
 	tell(discovery.News{Mode: grebefork.ListCached, Members: cfg.Known.Members})
 	go d.Run(work, moves)
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -6,11 +6,12 @@
 
 	"example.org/grebefork"
 	"example.org/grebefork/internal/config"
+	"example.org/grebefork/internal/discovery"
 	"example.org/grebefork/internal/settings"
 )
 
 // follows puts each configuration in force that comes, until the context ends.
-func (l *loop) follows(ctx context.Context, reloads <-chan config.Reloaded, moves chan<- string) {
+func (l *loop) follows(ctx context.Context, reloads <-chan config.Reloaded, moves chan<- discovery.Place) {
 	for {
 		select {
 		case r := <-reloads:
@@ -21,8 +22,8 @@
 	}
 }
 
-// reload puts a configuration in force, its settings first and then discovery's address, or counts it as rejected.
-func (l *loop) reload(ctx context.Context, r config.Reloaded, moves chan<- string) {
+// reload puts a configuration in force, its settings first and then where the list is to be had, or counts it as rejected.
+func (l *loop) reload(ctx context.Context, r config.Reloaded, moves chan<- discovery.Place) {
 	err := r.Err
 	if err == nil {
 		adopted := make(chan error, 1)
@@ -39,10 +40,10 @@
 		return
 	}
 	l.pool.counts.total(func(t *totals) { t.applied++ })
-	l.log.Info("reloaded", "discovery", r.Config.Discovery, "classes", r.Config.Settings.Classes,
+	l.log.Info("reloaded", "discovery", r.Config.Discovery, "relays", len(r.Config.Relays), "classes", r.Config.Settings.Classes,
 		"max_attempts", r.Config.Settings.Module.MaxAttempts)
 	select {
-	case moves <- r.Config.Discovery:
+	case moves <- discovery.Place{Addr: r.Config.Discovery, Relays: r.Config.Relays}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,12 +25,16 @@
 	MinSockets = 2*ReservedSockets + 32
 )
 
+// maxRelays is how many relays that say nothing an agent can go through in what a silent watch leaves of ToldFailed.
+const maxRelays = 5
+
 // Config is what the platform tells an agent at its start.
 type Config struct {
 	Name      string
 	Listen    string
 	Discovery string
-	Console   string // empty: none
+	Relays    []string // of the list, each an IP address and port; empty: none
+	Console   string   // empty: none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -150,6 +154,7 @@
 	var f struct {
 		Name, Listen, Discovery, Console, Seed string
 
+		Relays []string `json:"relays"`
 		Limits struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
@@ -162,7 +167,7 @@
 		return nil, err
 	}
 	cfg := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Relays: f.Relays, Console: f.Console,
 		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets,
 	}
 	var err error
@@ -178,6 +183,9 @@
 	if _, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if err = checkRelays(f.Relays, f.Discovery); err != nil {
+		return nil, err
+	}
 	if _, err = netip.ParseAddrPort(f.Console); err != nil && f.Console != "" {
 		return nil, fmt.Errorf("console: %w", err)
 	}
@@ -206,6 +214,22 @@
 	return cfg, nil
 }
 
+// checkRelays checks the addresses of relays. Two of the same would be tried one after the other, in time meant for others.
+func checkRelays(relays []string, discovery string) error {
+	if len(relays) > maxRelays {
+		return fmt.Errorf("relays: %d, more than %d", len(relays), maxRelays)
+	}
+	for i, addr := range relays {
+		switch _, err := netip.ParseAddrPort(addr); {
+		case err != nil:
+			return fmt.Errorf("relays[%d]: %w", i, err)
+		case addr == discovery || slices.Contains(relays[:i], addr):
+			return fmt.Errorf("relays[%d]: %s is taken", i, addr)
+		}
+	}
+	return nil
+}
+
 // decoded returns what a file says but for its list, which is checked by itself.
 func decoded(text []byte) (any, error) {
 	var file map[string]any
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -43,6 +44,13 @@
 		{"settings.limits.maxAttempts", `"maxAttempts":3,`, ``},
 		{"settings", `"settings"`, `"sets"`},
 		{"console", `"seed"`, `"console":"here","seed"`},
+		{"relays", `"seed"`, `"relays":"10.0.0.1:80","seed"`},
+		{"relays", `"seed"`, `"relays":[1],"seed"`},
+		{"relays[1]", `"seed"`, `"relays":["10.0.0.1:80","there:80"],"seed"`},
+		{"relays[0]", `"seed"`, `"relays":[""],"seed"`},
+		{"relays[1]", `"seed"`, `"relays":["10.0.0.1:80","10.0.0.1:80"],"seed"`},
+		{"relays[0]", `"seed"`, `"relays":["127.0.0.1:1"],"seed"`},
+		{"relays: 6", `"seed"`, `"relays":["10.0.0.1:1","10.0.0.1:2","10.0.0.1:3","10.0.0.1:4","10.0.0.1:5","10.0.0.1:6"],"seed"`},
 	} {
 		text := strings.Replace(configText, c.old, c.new, 1)
 		_, err := Parse([]byte(text))
@@ -52,6 +60,34 @@
 	}
 }
 
+// Relays may be left out, and be taken away again only in so many words.
+func TestRelays(t *testing.T) {
+	with := func(relays string) string { return strings.Replace(configText, `"seed"`, relays+`"seed"`, 1) }
+	for _, c := range []struct {
+		text string
+		want []string
+	}{
+		{configText, nil},
+		{with(`"relays":[],`), nil},
+		{with(`"relays":["10.0.0.1:80","[::1]:81"],`), []string{"10.0.0.1:80", "[::1]:81"}},
+	} {
+		cfg, err := Parse([]byte(c.text))
+		if err != nil || !slices.Equal(cfg.Relays, c.want) {
+			t.Errorf("%v, error %v, want %v", cfg, err, c.want)
+		}
+	}
+	present, err := Parse([]byte(with(`"relays":["10.0.0.1:80"],`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ParseReload([]byte(configText), present); err == nil || err.Error() != "relays: missing" {
+		t.Errorf("a text without relays: error %v", err)
+	}
+	if next, err := ParseReload([]byte(with(`"relays":[],`)), present); err != nil || len(next.Relays) > 0 {
+		t.Errorf("a text with an empty list: error %v", err)
+	}
+}
+
 // A file that lacks what the present one has, or says what cannot be, is turned down with the name of the field.
 func TestBrokenFiles(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
--- /dev/null
+++ b/internal/discovery/relays_test.go
@@ -0,0 +1,386 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
+)
+
+// An agent's first relay depends on its name alone, relays share agents evenly, and those of one that is lost spread over
+// the others evenly, while nobody else moves.
+func TestAgentsShareRelays(t *testing.T) {
+	const agents = 830
+	for _, relays := range [][]string{
+		{"10.0.0.1:9000", "10.0.0.2:9000", "10.0.0.3:9000", "10.0.0.4:9000", "10.0.0.5:9000"},
+		{"127.0.0.1:9001", "127.0.0.1:9002", "127.0.0.1:9003", "127.0.0.1:9004", "127.0.0.1:9005"},
+	} {
+		for _, form := range []string{"agent-%03d", "%d", "gw-7f3a9c21e0b4d655-%d"} {
+			first, then := map[string]int{}, map[string]int{}
+			lost := relays[2]
+			others := slices.DeleteFunc(slices.Clone(relays), func(r string) bool { return r == lost })
+			for i := range agents {
+				name := fmt.Sprintf(form, i)
+				order := ranked(name, relays)
+				first[order[0]]++
+				left := ranked(name, others)
+				switch {
+				case order[0] == lost:
+					if then[left[0]]++; left[0] != order[1] {
+						t.Errorf("%s goes from %s to %s, its second is %s", name, lost, left[0], order[1])
+					}
+				case left[0] != order[0]:
+					t.Errorf("%s moves from %s to %s though %s is lost", name, order[0], left[0], lost)
+				}
+			}
+			for r, n := range first {
+				if mean := float64(agents) / float64(len(relays)); float64(n) >= 1.25*mean {
+					t.Errorf("%s: %d agents at %s, %.0f on average", form, n, r, mean)
+				}
+			}
+			for r, n := range then {
+				if mean := float64(first[lost]) / float64(len(others)); float64(n) >= 1.5*mean {
+					t.Errorf("%s: %d agents more at %s, %.0f on average", form, n, r, mean)
+				}
+			}
+			if len(first) != len(relays) || len(then) != len(others) {
+				t.Errorf("%s: agents at %v, then at %v", form, first, then)
+			}
+		}
+	}
+}
+
+// How a host answers.
+const (
+	serving  = iota
+	down     // connections are refused, and open ones are reset
+	silentOn // says nothing any more
+	refusing // 503
+	busyOnce // 503 with Retry-After once, then serving
+)
+
+// hostsOf is a service behind several addresses, all with the same list at once.
+type hostsOf struct {
+	watched
+	state   map[string]int
+	switchd chan struct{} // closed when a state changes
+}
+
+func newHosts(addrs ...string) *hostsOf {
+	h := &hostsOf{watched: watched{revision: 1, changed: make(chan struct{})}, state: map[string]int{}, switchd: make(chan struct{})}
+	for _, a := range addrs {
+		h.state[a] = serving
+	}
+	return h
+}
+
+func (h *hostsOf) become(state int, addrs ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range addrs {
+		h.state[a] = state
+	}
+	close(h.switchd)
+	h.switchd = make(chan struct{})
+}
+
+func (h *hostsOf) RoundTrip(r *http.Request) (*http.Response, error) {
+	type result struct {
+		resp *http.Response
+		err  error
+	}
+	answered := make(chan result, 1)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	for first := true; ; first = false {
+		h.mu.Lock()
+		state, changed := h.state[r.URL.Host], h.switchd
+		if first && state != serving {
+			h.asked = append(h.asked, r.URL.Host+"?"+r.URL.RawQuery)
+		}
+		if state == busyOnce {
+			h.state[r.URL.Host] = serving
+		}
+		h.mu.Unlock()
+		switch state {
+		case down:
+			return nil, errors.New("refused or reset")
+		case refusing:
+			return &http.Response{Status: "503", StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+		case busyOnce:
+			return &http.Response{
+				Status: "503", StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{"Retry-After": {"1.25"}},
+			}, nil
+		case silentOn:
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		if first {
+			go func() {
+				resp, err := h.watched.RoundTrip(r.WithContext(ctx))
+				answered <- result{resp, err}
+			}()
+		}
+		select {
+		case a := <-answered:
+			return a.resp, a.err
+		case <-changed:
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+}
+
+// since are the hosts that were asked from the n-th call on, in order, each once.
+func (h *hostsOf) since(n int) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var hosts []string
+	for _, q := range h.asked[n:] {
+		if host, _, _ := strings.Cut(q, "?"); !slices.Contains(hosts, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// alone is one agent whose list comes through relays.
+type alone struct {
+	*hostsOf
+	order  []string // its relays
+	mu     sync.Mutex
+	heard  map[uint64]time.Time
+	failed []time.Duration // what was left when the module was told that calls had failed
+}
+
+const service = "10.0.0.9:1"
+
+// follows starts an agent that holds revision 1, or nothing. Where the list is asked for, it asks a turn later than it
+// could, as the module would.
+func follows(t *testing.T, asked, known bool, turn time.Duration) *alone {
+	relays := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	a := &alone{hostsOf: newHosts(append(relays, service)...), order: ranked("a", relays), heard: map[uint64]time.Time{}}
+	set := &settings.Settings{Module: grebefork.Settings{Agents: 1, AskList: asked}}
+	var d *Client
+	d = New(Options{
+		Addr: service, Name: "a", Relays: relays, Settings: func() *settings.Settings { return set },
+		Count: func(Call) {}, Log: slog.New(slog.DiscardHandler),
+		Tell: func(n News) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if n.Mode == grebefork.ListFailed {
+				a.failed = append(a.failed, n.Left)
+				time.AfterFunc(turn, d.Ask)
+				return
+			}
+			if _, ok := a.heard[n.Revision]; !ok {
+				a.heard[n.Revision] = time.Now()
+			}
+		},
+	})
+	if known {
+		one := uint64(1)
+		d.StartFrom(List{Revision: &one, Complete: true, Members: []Member{{ID: "x"}}})
+	}
+	d.Through(a.hostsOf)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { d.Run(ctx, nil); close(ended) }()
+	t.Cleanup(func() { stop(); <-ended })
+	d.Ask()
+	return a
+}
+
+func (a *alone) heardOf(revision uint64) (time.Time, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, ok := a.heard[revision]
+	return at, ok
+}
+
+// However relays are lost, an agent goes to its next one at once and to discovery itself last, and hears of what is new
+// within what the platform allows. It asks for the whole list no second time.
+func TestRelaysAreLost(t *testing.T) {
+	const turn = time.Second
+	for name, c := range map[string]struct {
+		asked  bool
+		state  int
+		lost   int // of three, from the first on
+		within time.Duration
+		next   string // who is asked in the end
+		failed int    // times that the module is told
+	}{
+		"reset":              {true, down, 1, 10 * time.Millisecond, "second", 0},
+		"refused":            {true, refusing, 1, 10 * time.Millisecond, "second", 0},
+		"silent":             {true, silentOn, 1, relayWatch + watchGrace, "second", 0},
+		"two reset":          {true, down, 2, 10 * time.Millisecond, "third", 0},
+		"two silent":         {true, silentOn, 2, relayWatch + watchGrace + RelayTimeout, "third", 0},
+		"all reset":          {true, down, 3, turn + 10*time.Millisecond, "service", 1},
+		"all refuse":         {true, refusing, 3, turn + 10*time.Millisecond, "service", 1},
+		"pushed, reset":      {false, down, 1, 10 * time.Millisecond, "second", 0},
+		"pushed, silent":     {false, silentOn, 1, relayWatch + watchGrace, "second", 0},
+		"pushed, all reset":  {false, down, 3, 10 * time.Millisecond, "service", 0},
+		"pushed, all refuse": {false, refusing, 3, 10 * time.Millisecond, "service", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := follows(t, c.asked, false, turn)
+				time.Sleep(10*time.Second + 100*time.Millisecond) // within a watch
+				synctest.Wait()
+				whole, calls := a.calls()
+				if got := a.since(0); !slices.Equal(got, a.order[:1]) || whole != 1 {
+					t.Fatalf("%v are asked, the whole list %d times", got, whole)
+				}
+				a.become(c.state, a.order[:c.lost]...)
+				a.change()
+				begun := time.Now()
+				time.Sleep(6 * time.Second)
+				synctest.Wait()
+				if at, ok := a.heardOf(2); !ok || at.Sub(begun) > c.within {
+					t.Errorf("heard %v after %v, want within %v", ok, at.Sub(begun), c.within)
+				}
+				if whole, _ := a.calls(); whole != 1 {
+					t.Errorf("the whole list is asked for %d times: %q", whole, a.asked)
+				}
+				asked := a.since(calls)
+				ends := map[string]string{"second": a.order[1], "third": a.order[2], "service": service}
+				if len(asked) == 0 || asked[len(asked)-1] != ends[c.next] {
+					t.Errorf("%q are asked, the last one is to be the %s", asked, c.next)
+				}
+				if len(a.failed) != c.failed {
+					t.Errorf("the module is told %v, want %d times", a.failed, c.failed)
+				}
+				for _, left := range a.failed { // what the relay itself may have missed is taken off
+					if left <= 0 || left > grebefork.ToldFailed-RelayStale {
+						t.Errorf("the module is told that %v are left", left)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A machine that says nothing shows in the dial already, in time for the other relays.
+func TestDialsToRelaysAreShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := dialsInTime(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		for _, c := range []struct {
+			ctx  context.Context
+			want time.Duration
+		}{
+			{context.WithValue(t.Context(), relayedKey{}, true), relayDial},
+			{t.Context(), time.Minute},
+		} {
+			ctx, cancel := context.WithTimeout(c.ctx, time.Minute)
+			begun := time.Now()
+			if _, err := dial(ctx, "tcp", "10.0.0.1:1"); !errors.Is(err, context.DeadlineExceeded) || time.Since(begun) != c.want {
+				t.Errorf("error %v after %v, want %v", err, time.Since(begun), c.want)
+			}
+			cancel()
+		}
+	})
+	if worst := relayWatch + watchGrace + 5*relayDial; worst >= grebefork.ToldFailed-RelayStale {
+		t.Errorf("five silent relays take %v", worst)
+	}
+}
+
+// An agent that is away from its first relay tries it again once a minute at most, stays where it was if that fails, and
+// otherwise is at home again.
+func TestHomeAgain(t *testing.T) {
+	for _, lost := range []int{1, 3} { // to the second relay, and to discovery itself
+		synctest.Test(t, func(t *testing.T) {
+			a := follows(t, true, true, time.Second)
+			time.Sleep(10 * time.Second)
+			a.become(down, a.order[:lost]...)
+			time.Sleep(10 * time.Second)
+			_, before := a.calls()
+			time.Sleep(10 * time.Minute)
+			a.hostsOf.mu.Lock()
+			tries := 0
+			for _, q := range a.asked[before:] {
+				if host, _, _ := strings.Cut(q, "?"); host == a.order[0] {
+					tries++
+				}
+			}
+			a.hostsOf.mu.Unlock()
+			if tries < 8 || tries > 10 {
+				t.Errorf("%d lost: the first relay is tried %d times in ten minutes", lost, tries)
+			}
+			a.become(serving, a.order...)
+			time.Sleep(homeAgain + 2*relayWatch + askTurn)
+			_, before = a.calls()
+			time.Sleep(time.Minute)
+			if got := a.since(before); !slices.Equal(got, a.order[:1]) {
+				t.Errorf("%d lost: a minute after their return %q are asked, want %q", lost, got, a.order[0])
+			}
+			if whole, _ := a.calls(); whole != 0 {
+				t.Errorf("the whole list is asked for %d times", whole)
+			}
+		})
+	}
+}
+
+// A relay that says when to come again is asked again then, and nobody else meanwhile.
+func TestComesAgainWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := follows(t, true, false, time.Second)
+		a.become(busyOnce, a.order[0])
+		begun := time.Now()
+		time.Sleep(5 * time.Second)
+		at, ok := a.heardOf(1)
+		if asked := a.since(0); !ok || at.Sub(begun) != 1250*time.Millisecond || !slices.Equal(asked, a.order[:1]) {
+			t.Errorf("heard %v after %v, %q are asked", ok, at.Sub(begun), asked)
+		}
+	})
+}
+
+// Relays that come and go change where the list is asked for, not what is held.
+func TestOtherRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts("10.0.0.1:1", "10.0.0.2:1", service)
+		set := &settings.Settings{Module: grebefork.Settings{Agents: 1}}
+		d := New(Options{
+			Addr: service, Name: "a", Settings: func() *settings.Settings { return set }, Count: func(Call) {},
+			Log: slog.New(slog.DiscardHandler), Tell: func(News) {},
+		})
+		d.Through(h)
+		ctx, stop := context.WithCancel(t.Context())
+		moves, ended := make(chan Place), make(chan struct{})
+		go func() { d.Run(ctx, moves); close(ended) }()
+		synctest.Wait()
+		for _, c := range []struct {
+			relays []string
+			want   string
+		}{
+			{[]string{"10.0.0.1:1"}, "10.0.0.1:1"},
+			{[]string{"10.0.0.2:1"}, "10.0.0.2:1"},
+			{nil, service},
+		} {
+			_, before := h.calls()
+			moves <- Place{service, c.relays}
+			synctest.Wait()
+			if got := h.since(before); !slices.Equal(got, []string{c.want}) {
+				t.Errorf("relays %q: %q are asked", c.relays, got)
+			}
+		}
+		if whole, _ := h.calls(); whole != 1 {
+			t.Errorf("the whole list is asked for %d times", whole)
+		}
+		stop()
+		<-ended
+	})
+}
--- a/internal/scale/hollow/life.go
+++ b/internal/scale/hollow/life.go
@@ -28,7 +28,7 @@
 	number uint32 // as the shard counts
 	ctx    context.Context
 	stop   context.CancelFunc
-	moves  chan string
+	moves  chan discovery.Place
 	ended  chan struct{}
 	conns  conns
 }
@@ -52,11 +52,11 @@
 	if err != nil {
 		return fmt.Errorf("hollow agent %d: %w", a.place, err)
 	}
-	l := &life{moves: make(chan string), ended: make(chan struct{})}
+	l := &life{moves: make(chan discovery.Place), ended: make(chan struct{})}
 	l.ctx, l.stop = context.WithCancel(f.ctx)
 	client := discovery.New(discovery.Options{
 		Addr: cfg.Discovery, Settings: a.set.Load, Tell: func(n discovery.News) { f.tell(a, l, n) }, Count: f.count,
-		Log: f.log, Dial: l.conns.dial,
+		Log: f.log, Dial: l.conns.dial, Name: cfg.Name, Relays: cfg.Relays,
 	})
 	client.StartFrom(cfg.Known)
 	a.shard.do(func() {
@@ -78,9 +78,13 @@
 
 // options are what an agent's configuration says of a revision.
 func (f *Fleet) options(a *agent, revision int) world.ConfigOptions {
-	return world.ConfigOptions{
+	o := world.ConfigOptions{
 		Listen: listenNowhere, Discovery: f.discovery[a.place], Revision: revision, Seed: f.world.Scenario.Seed + uint64(a.place),
 	}
+	if f.relays != nil {
+		o.Relays = f.relays[a.place]
+	}
+	return o
 }
 
 // known is the list that an agent holds, as the platform would write it into its configuration; nil if it holds none.
@@ -141,7 +145,7 @@
 }
 
 // reload has an agent take a configuration in as its file read again, and puts it in force as the real agent does: its
-// settings first and then discovery's address. One that comes after a newer one has been in force since that.
+// settings first and then where the list is to be had. One that comes after a newer one has been in force since that.
 func (f *Fleet) reload(a *agent, revision int, text []byte) {
 	a.process.Lock()
 	defer a.process.Unlock()
@@ -164,7 +168,7 @@
 	a.cfg, a.conf = next, revision
 	f.source.inForce(a, revision)
 	select {
-	case a.running.moves <- next.Discovery:
+	case a.running.moves <- discovery.Place{Addr: next.Discovery, Relays: next.Relays}:
 	case <-a.running.ctx.Done():
 	}
 }
