Relay the list: one watch above, many below, the last list on disk

Cause: 830 agents that start together without a list never get one from a service that takes 68 ms for each, and an outage of 8 s takes 21 s to be over; the target allows 6 s.

Change: internal/relay and cmd/relay. Above, the agents' own client in its pushed mode, which retries by itself and soon, as a handful may; its watches last 0.2 s. Below, internal/lists, behind a front that keeps who is ahead of it for an answer from above asked for later, tells nobody but its holders of a stored list, and refuses everybody, waiting calls too, 2 s after the last news. Whole lists go out at a stated rate; who would wait over 1.25 s is told when its turn is, and that turn is kept. A whole list that follows what is held is handed on as changes, but for a move of discovery.

A list cut at every length or with any byte changed is passed over.

Ruled out: whole lists from the disk to those without any (they would send to what has gone); going on without the service above (agents would take it for told and never look elsewhere); a promise by name (the protocol has none).

--- /dev/null
+++ b/cmd/relay/main_test.go
@@ -0,0 +1,345 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/lists"
+	"example.org/grebefork/internal/settings"
+)
+
+// asRelay has this binary be the program itself.
+const asRelay = "RELAY_TEST_PROGRAM"
+
+// wait bounds what a test waits for; nothing passes by it.
+const wait = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asRelay) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// service is discovery, at an address that stays its own while it is down.
+type service struct {
+	*lists.Store
+	addr string
+	http *http.Server
+}
+
+func newService(t *testing.T, revision uint64, members ...discovery.Member) *service {
+	s := &service{Store: lists.NewStore(100), addr: freeAddr(t)}
+	s.Reset(revision, members)
+	s.up(t)
+	t.Cleanup(func() { s.http.Close() })
+	return s
+}
+
+func (s *service) up(t *testing.T) {
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &lists.Server{Store: s.Store, Calls: 1000, Conns: 1000}
+	s.http = server.HTTP()
+	go s.http.Serve(server.Listener(l, 0))
+}
+
+// freeAddr is an address that nobody listens at.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func member(id, phase string) discovery.Member {
+	return discovery.Member{ID: id, HostPort: "127.0.0.1:9", Phase: phase, Size: 1}
+}
+
+// program is the relay as a process.
+type program struct {
+	*exec.Cmd
+	addr, figures, config, state string
+	discovery                    string
+	log                          chan string
+	ended                        chan error
+}
+
+func startProgram(t *testing.T, discovery string) *program {
+	dir := t.TempDir()
+	p := &program{
+		addr: freeAddr(t), figures: freeAddr(t), config: filepath.Join(dir, "relay.json"), state: filepath.Join(dir, "state"), discovery: discovery,
+	}
+	p.configure(t, discovery, 1000)
+	p.start(t)
+	return p
+}
+
+func (p *program) configure(t *testing.T, discovery string, rate float64) {
+	text := fmt.Sprintf(`{"name":"r","listen":%q,"discovery":%q,"figures":%q,"state":%q,
+		"limits":{"lists_per_second":%v,"callers":1000,"memory_mb":64}}`, p.addr, discovery, p.figures, p.state, rate)
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start runs the program and returns when it listens.
+func (p *program) start(t *testing.T) {
+	p.Cmd = exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), asRelay+"=1", "RELAY_CONFIG="+p.config)
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stderr, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.log, p.ended = make(chan string, 1000), make(chan error, 1)
+	cmd, ended := p.Cmd, p.ended
+	go func() {
+		for s := bufio.NewScanner(stderr); s.Scan(); {
+			p.log <- s.Text()
+		}
+		ended <- cmd.Wait()
+	}()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", p.addr)
+		if err == nil {
+			c.Close()
+			return
+		}
+		if time.Since(begun) > wait {
+			t.Fatal("the relay does not listen")
+		}
+	}
+}
+
+// says waits for a line of the log.
+func (p *program) says(t *testing.T, what string) {
+	t.Helper()
+	for late := time.After(wait); ; {
+		select {
+		case line := <-p.log:
+			if strings.Contains(line, what) {
+				return
+			}
+		case <-late:
+			t.Fatalf("the log does not say %q", what)
+		}
+	}
+}
+
+func (p *program) wait(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(wait):
+		t.Fatal("the relay does not end")
+		return nil
+	}
+}
+
+// get makes a call: its status, 0 for none, and body.
+func get(addr, path string) (int, string) {
+	resp, err := http.Get("http://" + addr + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// agents follow the list through relays.
+type agents struct {
+	mu    sync.Mutex
+	heard []map[uint64]time.Time
+	whole []int
+	told  chan struct{} // at each news
+}
+
+func startAgents(t *testing.T, n int, addr string, relays []string) *agents {
+	a := &agents{heard: make([]map[uint64]time.Time, n), whole: make([]int, n), told: make(chan struct{}, 100_000)}
+	ctx, stop := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	t.Cleanup(func() { stop(); ended.Wait() })
+	set := &settings.Settings{Module: grebefork.Settings{Agents: 1}}
+	for i := range n {
+		a.heard[i] = map[uint64]time.Time{}
+		d := discovery.New(discovery.Options{
+			Addr: addr, Relays: relays, Name: fmt.Sprint("agent-", i), Settings: func() *settings.Settings { return set },
+			Count: func(discovery.Call) {}, Log: slog.New(slog.DiscardHandler),
+			Tell: func(n discovery.News) {
+				a.mu.Lock()
+				if _, ok := a.heard[i][n.Revision]; !ok {
+					a.heard[i][n.Revision] = time.Now()
+				}
+				if n.Mode == grebefork.ListFull {
+					a.whole[i]++
+				}
+				a.mu.Unlock()
+				a.told <- struct{}{}
+			},
+		})
+		ended.Go(func() { d.Run(ctx, nil) })
+	}
+	return a
+}
+
+// all waits until all agents have heard a revision and returns when the last one did.
+func (a *agents) all(t *testing.T, revision uint64) (last time.Time) {
+	t.Helper()
+	for late := time.After(wait); ; {
+		missing := 0
+		a.mu.Lock()
+		for _, h := range a.heard {
+			at, ok := h[revision]
+			if !ok {
+				missing++
+			} else if at.After(last) {
+				last = at
+			}
+		}
+		a.mu.Unlock()
+		if missing == 0 {
+			return last
+		}
+		select {
+		case <-a.told:
+		case <-late:
+			t.Fatalf("%d of %d agents do not hear of revision %d", missing, len(a.heard), revision)
+		}
+	}
+}
+
+// A relay that is killed under the watches of its agents costs them no change: they go to the other one and hear of it
+// within what the platform allows, without another whole list. Started again while discovery is down, it has its list.
+func TestKilledRelay(t *testing.T) {
+	s := newService(t, 7, member("x", "Ready"), member("y", "Ready"))
+	relays := []*program{startProgram(t, s.addr), startProgram(t, s.addr)}
+	a := startAgents(t, 40, s.addr, []string{relays[0].addr, relays[1].addr})
+	a.all(t, 7)
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) { // until the list is stored
+		if _, err := os.Stat(filepath.Join(relays[0].state, "list")); err == nil {
+			break
+		}
+		if time.Since(begun) > wait {
+			t.Fatal("no list is stored")
+		}
+	}
+	relays[0].Process.Kill()
+	relays[0].wait(t)
+	changed := time.Now()
+	if err := s.Apply(8, []discovery.Member{member("x", "Terminating")}); err != nil {
+		t.Fatal(err)
+	}
+	if took := a.all(t, 8).Sub(changed); took > grebefork.ToldFailed {
+		t.Errorf("the last agent hears %v after the change", took)
+	}
+	for i, n := range a.whole {
+		if n != 1 {
+			t.Errorf("agent %d gets %d whole lists", i, n)
+		}
+	}
+	s.http.Close()
+	relays[0].start(t)
+	relays[0].says(t, "stored list")
+	if status, text := get(relays[0].addr, "/discovery/hosts?after=7&wait_ms=0"); status != 200 || !strings.Contains(text, `"revision":7,"complete":false,"members":[]`) {
+		t.Errorf("who holds its list is answered %d %s", status, text)
+	}
+	if status, text := get(relays[0].addr, "/discovery/hosts"); status != http.StatusServiceUnavailable {
+		t.Errorf("who holds none is answered %d %s", status, text)
+	}
+	s.up(t)
+	relays[0].says(t, "msg=list")
+	if status, text := get(relays[0].addr, "/discovery/hosts?after=7&wait_ms=1000"); status != 200 || !strings.Contains(text, `"revision":8,"complete":false`) {
+		t.Errorf("with discovery again: %d %s", status, text)
+	}
+}
+
+// SIGHUP takes another address and rate, or nothing of a file that is not whole; SIGTERM refuses who waits at once.
+func TestSignals(t *testing.T) {
+	s, other := newService(t, 7, member("x", "Ready")), newService(t, 9, member("y", "Ready"))
+	p := startProgram(t, s.addr)
+	p.says(t, "msg=list")
+	p.configure(t, other.addr, -1)
+	p.Process.Signal(syscall.SIGHUP)
+	p.says(t, "limits.lists_per_second")
+	if _, text := get(p.addr, "/discovery/hosts"); !strings.Contains(text, `"revision":7`) {
+		t.Errorf("after a broken file: %s", text)
+	}
+	p.configure(t, other.addr, 500)
+	p.Process.Signal(syscall.SIGHUP)
+	p.says(t, "msg=list")
+	if _, text := get(p.addr, "/discovery/hosts"); !strings.Contains(text, `"revision":9`) {
+		t.Errorf("after a move: %s", text)
+	}
+	if status, text := get(p.figures, "/"); status != 200 || !strings.Contains(text, "relay_whole_lists_total 2\n") || !strings.Contains(text, "relay_revision 9\n") {
+		t.Errorf("the figures: %d %s", status, text)
+	}
+	answered := make(chan time.Duration)
+	begun := time.Now()
+	go func() {
+		get(p.addr, "/discovery/hosts?after=9&wait_ms=60000")
+		answered <- time.Since(begun)
+	}()
+	for { // until the watch waits
+		if _, text := get(p.figures, "/"); strings.Contains(text, "relay_open_calls 1\n") {
+			break
+		}
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.wait(t); err != nil {
+		t.Errorf("ends with %v", err)
+	}
+	select {
+	case <-answered:
+	case <-time.After(wait):
+		t.Error("a watch outlives the relay")
+	}
+}
+
+// What keeps the program from starting is named.
+func TestDoesNotStart(t *testing.T) {
+	s := newService(t, 7)
+	p := startProgram(t, s.addr)
+	second := &program{addr: p.addr, figures: freeAddr(t), config: filepath.Join(t.TempDir(), "relay.json"), state: t.TempDir()}
+	second.configure(t, s.addr, 1)
+	third := &program{addr: freeAddr(t), figures: p.figures, config: filepath.Join(t.TempDir(), "relay.json"), state: t.TempDir()}
+	third.configure(t, s.addr, 1)
+	for what, config := range map[string]string{
+		"RELAY_CONFIG is not set": "", "no such file": "/none/relay.json", "listening: ": second.config, "figures: ": third.config,
+	} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), asRelay+"=1", "RELAY_CONFIG="+config)
+		if text, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(text), what) {
+			t.Errorf("%s: error %v, it says %s", what, err, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/disk_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"example.org/grebefork/internal/discovery"
+	"example.org/grebefork/internal/lists"
+)
+
+func member(id, phase string, cell int) discovery.Member {
+	return discovery.Member{ID: id, HostPort: "10.0.0.1:80", Locality: "a", Flavor: "m1", Cell: cell, Phase: phase, Size: 1}
+}
+
+// A list on disk is read as it was written or not at all: cut anywhere, with any byte changed, with more behind it, or
+// replaced by something else, it is damaged, and a relay starts without it.
+func TestDamagedListIsPassedOver(t *testing.T) {
+	d := disk{t.TempDir()}
+	path := filepath.Join(d.dir, listFile)
+	if _, err := d.load(); !errors.Is(err, fs.ErrNotExist) {
+		t.Fatalf("none: error %v", err)
+	}
+	members := []discovery.Member{member("x", "Ready", 3), member("y", "Terminating", 0)}
+	text := lists.Encode(41, true, members)
+	if err := d.save(text); err != nil {
+		t.Fatal(err)
+	}
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	damaged := func(what string, n int, data []byte) {
+		t.Helper()
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if l, err := d.load(); !errors.Is(err, errDamaged) || l.Members != nil {
+			t.Fatalf("%s %d: %+v, error %v", what, n, l, err)
+		}
+	}
+	for n := range good {
+		damaged("cut to", n, good[:n])
+		changed := bytes.Clone(good)
+		changed[n] ^= 1 << (n % 8)
+		damaged("changed at", n, changed)
+	}
+	damaged("longer", 1, append(bytes.Clone(good), 0))
+	damaged("twice", 2, append(bytes.Clone(good), good...))
+	damaged("not whole", 0, seal(lists.Encode(41, false, members)))
+	damaged("no list", 0, seal([]byte("[]")))
+
+	if err := os.WriteFile(path, good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, err := d.load()
+	if err != nil || *l.Revision != 41 || !l.Complete || !reflect.DeepEqual(l.Members, members) {
+		t.Errorf("%+v, error %v", l, err)
+	}
+}
+
+// A crash while a list is stored leaves the old one, whatever of the new one is there already.
+func TestHalfStoredListIsPassedOver(t *testing.T) {
+	d := disk{t.TempDir()}
+	if err := d.save(lists.Encode(1, true, []discovery.Member{member("x", "Ready", 0)})); err != nil {
+		t.Fatal(err)
+	}
+	next := seal(lists.Encode(2, true, nil))
+	for n := range next {
+		if err := os.WriteFile(filepath.Join(d.dir, nextFile), next[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if l, err := d.load(); err != nil || *l.Revision != 1 {
+			t.Fatalf("%d bytes of the next one: %+v, error %v", n, l, err)
+		}
+	}
+	if err := d.save(lists.Encode(3, true, nil)); err != nil {
+		t.Fatal(err)
+	}
+	if l, err := d.load(); err != nil || *l.Revision != 3 {
+		t.Errorf("after it: %+v, error %v", l, err)
+	}
+}
+
+// What a directory cannot hold is an error, not an end.
+func TestListThatCannotBeStored(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, listFile), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	d := disk{dir}
+	if _, err := d.load(); !errors.Is(err, errDamaged) {
+		t.Errorf("a directory: error %v", err)
+	}
+	if err := d.save(lists.Encode(1, true, nil)); err == nil {
+		t.Error("a list replaces a directory")
+	}
+	if err := (disk{filepath.Join(dir, "none")}).save(lists.Encode(1, true, nil)); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("no directory: error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,411 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+	"unsafe"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/discovery"
+)
+
+// ids are the members of a list by name and phase, in order.
+func ids(l discovery.List) string {
+	var all []string
+	for _, m := range l.Members {
+		all = append(all, m.ID+m.Phase[:1])
+	}
+	slices.Sort(all)
+	return strings.Join(all, " ")
+}
+
+// is checks an answer: its revision, whether it is the whole list, and who is in it.
+func (got reply) is(t *testing.T, what string, revision uint64, complete bool, members string) {
+	t.Helper()
+	if got.status != http.StatusOK || *got.list.Revision != revision || got.list.Complete != complete || ids(got.list) != members {
+		t.Errorf("%s: %+v (%s), want revision %d, complete %v, %q", what, got, ids(got.list), revision, complete, members)
+	}
+}
+
+// A relay answers as the service above does, and what changes there reaches who waits here at once.
+func TestHandsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		a := newAbove(t, w, 7, member("x", "Ready", 0), member("y", "Ready", 0))
+		r := startRelay(t, w, "relay:1", t.TempDir())
+		ask(t, w, r.addr, "").is(t, "the whole list", 7, true, "xR yR")
+		heard := make(chan reply)
+		go func() { heard <- ask(t, w, r.addr, "?after=7&wait_ms=20000") }()
+		time.Sleep(3 * time.Second)
+		changed := time.Now()
+		a.apply(9, member("x", "Terminating", 0))
+		got := <-heard
+		got.is(t, "a watch", 9, false, "xT")
+		if late := time.Since(changed); late > time.Millisecond {
+			t.Errorf("the change comes %v later", late)
+		}
+		a.apply(10, member("y", "Gone", 0))
+		time.Sleep(time.Millisecond)
+		ask(t, w, r.addr, "?after=7&wait_ms=0").is(t, "who is behind", 10, false, "xT yG")
+		ask(t, w, r.addr, "").is(t, "the whole list", 10, true, "xT")
+		got = ask(t, w, r.addr, "?after=10&wait_ms=1500")
+		got.is(t, "nothing new", 10, false, "")
+		if got.took != 1500*time.Millisecond {
+			t.Errorf("nothing new is told after %v", got.took)
+		}
+		a.apply(11) // a revision of no changes
+		time.Sleep(upstreamWatch)
+		ask(t, w, r.addr, "?after=10&wait_ms=0").is(t, "no changes", 11, false, "")
+		for _, query := range []string{"?after=x", "?after=1&wait_ms=-1", "?after=1&later=1", "?after=%zz"} {
+			if got := ask(t, w, r.addr, query); got.status != http.StatusBadRequest {
+				t.Errorf("%s: %d", query, got.status)
+			}
+		}
+		f := r.Figures()
+		if f.Calls != 10 || f.Whole != 2 || f.Refused != 0 || f.Open != 0 || f.Waiting != 0 || f.Bytes < 500 || f.Age > upstreamWatch || f.Revision != 11 {
+			t.Errorf("%+v", f)
+		}
+	})
+}
+
+// A restart needs nobody: who holds the list that was stored goes on by it, and nobody else is told of it before the
+// service above has answered.
+func TestRestartsFromDisk(t *testing.T) {
+	for name, damage := range map[string]func(path string){
+		"stored": func(string) {},
+		"damaged": func(path string) {
+			text, _ := os.ReadFile(path)
+			os.WriteFile(path, text[:len(text)-1], 0o600)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, state := newWires(), t.TempDir()
+				a := newAbove(t, w, 7, member("x", "Ready", 0), member("y", "Ready", 0))
+				r := startRelay(t, w, "relay:1", state)
+				time.Sleep(time.Second)
+				a.apply(8, member("z", "Ready", 0))
+				time.Sleep(time.Millisecond)
+				r.stop() // stores the last list
+				damage(filepath.Join(state, listFile))
+				a.down()
+				r = startRelay(t, w, "relay:1", state)
+				if got := ask(t, w, r.addr, ""); got.status != http.StatusServiceUnavailable || got.took > discovery.RelayWhole {
+					t.Errorf("the whole list without news from above: %+v", got)
+				}
+				got := ask(t, w, r.addr, "?after=8&wait_ms=500")
+				got.is(t, "who holds it", 8, false, "")
+				if got.took != 500*time.Millisecond {
+					t.Errorf("who holds it is answered after %v", got.took)
+				}
+				if got := ask(t, w, r.addr, "?after=7&wait_ms=0"); got.status == http.StatusOK && len(got.list.Members) > 0 {
+					t.Errorf("who is behind is told %s", ids(got.list))
+				}
+				a.apply(9, member("x", "Gone", 0))
+				a.up()
+				time.Sleep(time.Second)
+				ask(t, w, r.addr, "?after=9&wait_ms=0").is(t, "then who is ahead", 9, false, "")
+				ask(t, w, r.addr, "").is(t, "then the whole list", 9, true, "yR zR")
+				if name == "stored" {
+					ask(t, w, r.addr, "?after=8&wait_ms=0").is(t, "then who held it", 9, false, "xG")
+				} else {
+					ask(t, w, r.addr, "?after=8&wait_ms=0").is(t, "then who held it", 9, true, "yR zR")
+				}
+			})
+		})
+	}
+}
+
+// The service above has lost its log and sends the whole list: who follows this relay is told the changes all the same.
+func TestWholeListBecomesChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		a := newAbove(t, w, 7, member("x", "Ready", 0), member("y", "Ready", 0), member("z", "Ready", 0))
+		r := startRelay(t, w, "relay:1", t.TempDir())
+		time.Sleep(time.Second)
+		a.Reset(20, []discovery.Member{member("y", "Terminating", 0), member("z", "Ready", 0), member("v", "Ready", 0)})
+		time.Sleep(upstreamWatch)
+		ask(t, w, r.addr, "?after=7&wait_ms=0").is(t, "who follows", 20, false, "vR xG yT")
+		ask(t, w, r.addr, "?after=3&wait_ms=0").is(t, "who does not", 20, true, "vR yT zR")
+	})
+}
+
+// Nobody is told an older list after a newer one. Who is ahead waits for an answer from above that was asked for later; if
+// that is no newer, the service counts anew, and the whole list follows; without one, the caller goes on by its list.
+func TestNothingOlderAfterNewer(t *testing.T) {
+	for name, c := range map[string]struct {
+		then     func(*above) // 100 ms after the call has come
+		query    string
+		took     [2]time.Duration
+		revision uint64
+		complete bool
+		members  string
+		status   int
+	}{
+		"catches up to it": {
+			then:  func(a *above) { a.apply(12, member("y", "Gone", 0)) },
+			query: "?after=12&wait_ms=2000", took: [2]time.Duration{2 * time.Second, 2 * time.Second}, revision: 12,
+		},
+		"catches up beyond it": {
+			then:  func(a *above) { a.apply(12, member("y", "Gone", 0)); a.apply(13, member("x", "Terminating", 0)) },
+			query: "?after=12&wait_ms=2000", took: [2]time.Duration{100 * time.Millisecond, 101 * time.Millisecond}, revision: 13, members: "xT yG",
+		},
+		"counts anew": {
+			then:  func(a *above) {},
+			query: "?after=12&wait_ms=2000", took: [2]time.Duration{upstreamWatch, 2 * upstreamWatch}, revision: 7, complete: true, members: "xR yR",
+		},
+		"counts anew, no wait": {
+			then:  func(a *above) {},
+			query: "?after=12&wait_ms=0", took: [2]time.Duration{upstreamWatch, aheadHold}, revision: 7, complete: true, members: "xR yR",
+		},
+		"lost, no wait": {
+			then:  func(a *above) { a.down() },
+			query: "?after=12&wait_ms=0", took: [2]time.Duration{aheadHold, aheadHold}, revision: 12,
+		},
+		"lost": {
+			then:  func(a *above) { a.down() },
+			query: "?after=12&wait_ms=1000", took: [2]time.Duration{time.Second, time.Second}, revision: 12,
+		},
+		"lost for long": {
+			then:  func(a *above) { a.down() },
+			query: "?after=12&wait_ms=20000", took: [2]time.Duration{staleAfter - 2*upstreamWatch, staleAfter}, status: 503,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWires()
+				a := newAbove(t, w, 7, member("x", "Ready", 0), member("y", "Ready", 0))
+				r := startRelay(t, w, "relay:1", t.TempDir())
+				time.Sleep(time.Second + 50*time.Millisecond)
+				if strings.HasPrefix(name, "lost") {
+					a.down() // before it could answer
+				}
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					c.then(a)
+				}()
+				got := ask(t, w, r.addr, c.query)
+				if c.status != 0 {
+					if got.status != c.status {
+						t.Errorf("%+v, want status %d", got, c.status)
+					}
+				} else {
+					got.is(t, name, c.revision, c.complete, c.members)
+				}
+				if got.took < c.took[0] || got.took > c.took[1] {
+					t.Errorf("took %v, want %v to %v", got.took, c.took[0], c.took[1])
+				}
+				time.Sleep(100 * time.Millisecond)
+			})
+		})
+	}
+}
+
+// A relay that has not heard from above for staleAfter refuses, calls that wait too, so that its callers go elsewhere; when
+// it has heard again it answers again. A call that was answered before counts from when it was made.
+func TestStaleRelayRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		a := newAbove(t, w, 7, member("x", "Ready", 0))
+		r := startRelay(t, w, "relay:1", t.TempDir())
+		time.Sleep(10 * time.Second)
+		lost := time.Now()
+		a.down()
+		time.Sleep(time.Second)
+		ask(t, w, r.addr, "?after=7&wait_ms=100").is(t, "soon after", 7, false, "")
+		if got := ask(t, w, r.addr, "?after=7&wait_ms=20000"); got.status != http.StatusServiceUnavailable || got.again != "" {
+			t.Errorf("a watch: %+v", got)
+		}
+		if after := time.Since(lost); after > staleAfter || after < staleAfter-2*upstreamWatch {
+			t.Errorf("the watch is refused %v after the loss", after)
+		}
+		time.Sleep(upstreamWatch)
+		for _, query := range []string{"", "?after=7&wait_ms=1000", "?after=9&wait_ms=1000", "?after=3&wait_ms=0"} {
+			if got := ask(t, w, r.addr, query); got.status != http.StatusServiceUnavailable || got.took > 0 || got.again != "" {
+				t.Errorf("%q: %+v", query, got)
+			}
+		}
+		if f := r.Figures(); f.Refused != 5 || f.Age < staleAfter {
+			t.Errorf("%+v", f)
+		}
+		time.Sleep(time.Minute)
+		a.apply(8, member("x", "Terminating", 0))
+		a.up()
+		time.Sleep(2 * upstreamRetry)
+		ask(t, w, r.addr, "?after=7&wait_ms=1000").is(t, "again", 8, false, "xT")
+	})
+}
+
+// After a move the revisions are another service's: the whole list of the new one replaces all, lower or higher.
+func TestMoves(t *testing.T) {
+	for _, revision := range []uint64{3, 7, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWires()
+			newAbove(t, w, 7, member("x", "Ready", 0))
+			other := &above{Store: newAbove(t, newWires(), revision, member("y", "Ready", 0)).Store, net: w, addr: "other:1"}
+			other.up()
+			t.Cleanup(other.down)
+			r := startRelay(t, w, "relay:1", t.TempDir())
+			time.Sleep(time.Second)
+			r.Move(t.Context(), "above:1", 60)
+			time.Sleep(time.Second)
+			ask(t, w, r.addr, "?after=7&wait_ms=0").is(t, "no move", 7, false, "")
+			r.Move(t.Context(), "other:1", 60)
+			time.Sleep(time.Second)
+			ask(t, w, r.addr, "").is(t, "a move", revision, true, "yR")
+			if revision != 7 { // which the protocol cannot tell from the other seventh
+				ask(t, w, r.addr, "?after=7&wait_ms=0").is(t, "who held the old list", revision, true, "yR")
+			}
+		})
+	}
+}
+
+// At its end a relay refuses those who wait at once, takes no connection more and stores what it has.
+func TestEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, state := newWires(), t.TempDir()
+		a := newAbove(t, w, 7, member("x", "Ready", 0))
+		r := startRelay(t, w, "relay:1", state)
+		time.Sleep(time.Second)
+		var waiting sync.WaitGroup
+		for range 20 {
+			waiting.Go(func() {
+				if got := ask(t, w, r.addr, "?after=8&wait_ms=20000"); got.status == http.StatusOK {
+					t.Errorf("a watch that waits: %+v", got)
+				}
+			})
+		}
+		a.apply(8, member("x", "Terminating", 0))
+		time.Sleep(time.Second)
+		begun := time.Now()
+		r.stop()
+		waiting.Wait()
+		if took := time.Since(begun); took > endGrace {
+			t.Errorf("the end takes %v", took)
+		}
+		if got := ask(t, w, r.addr, ""); got.status != 0 {
+			t.Errorf("after the end: %+v", got)
+		}
+		if l, err := (disk{state}).load(); err != nil || *l.Revision != 8 {
+			t.Errorf("stored %+v, error %v", l, err)
+		}
+	})
+}
+
+// The list goes to the disk when it has changed, and no more often than stated.
+func TestStoresNoMoreOftenThanStated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, state := newWires(), t.TempDir()
+		a := newAbove(t, w, 1, member("x", "Ready", 0))
+		startRelay(t, w, "relay:1", state)
+		stored := map[uint64]bool{}
+		for revision := uint64(2); revision <= 600; revision++ {
+			a.apply(revision, member("x", "Ready", int(revision)))
+			time.Sleep(100 * time.Millisecond)
+			if l, err := (disk{state}).load(); err == nil {
+				stored[*l.Revision] = true
+			}
+		}
+		if n := len(stored); n < 10 || n > 14 {
+			t.Errorf("%d lists are stored in a minute", n)
+		}
+		time.Sleep(saveEvery)
+		if l, err := (disk{state}).load(); err != nil || *l.Revision != 600 {
+			t.Errorf("stored %+v, error %v", l, err)
+		}
+	})
+}
+
+// More callers than stated are refused at once.
+func TestCallersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		newAbove(t, w, 7, member("x", "Ready", 0))
+		r := startRelay(t, w, "relay:1", t.TempDir())
+		r.o.Callers = 3 // before the first call
+		time.Sleep(time.Second)
+		var waiting sync.WaitGroup
+		for range 3 {
+			waiting.Go(func() { ask(t, w, r.addr, "?after=7&wait_ms=1000").is(t, "a watch", 7, false, "") })
+		}
+		time.Sleep(100 * time.Millisecond)
+		if got := ask(t, w, r.addr, "?after=7&wait_ms=1000"); got.status != http.StatusServiceUnavailable || got.took > 0 {
+			t.Errorf("a fourth: %+v", got)
+		}
+		waiting.Wait()
+		ask(t, w, r.addr, "").is(t, "then", 7, true, "xR")
+	})
+}
+
+// recorder notes where the text lies that it is given.
+type recorder struct {
+	header http.Header
+	at     []*byte
+	n      int
+}
+
+func (r *recorder) Header() http.Header { return r.header }
+func (r *recorder) WriteHeader(int)     {}
+func (r *recorder) Flush()              {}
+func (r *recorder) Write(text []byte) (int, error) {
+	r.at = append(r.at, unsafe.SliceData(text))
+	r.n += len(text)
+	return len(text), nil
+}
+
+// A change is encoded once for all that wait for it, however many they are.
+func TestCallersShareEncodings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers = 830
+		w := newWires()
+		var members []discovery.Member
+		for i := range callers {
+			members = append(members, member(fmt.Sprint("s", i), "Ready", 0))
+		}
+		a := newAbove(t, w, 7, members...)
+		r := startRelay(t, w, "relay:1", t.TempDir())
+		time.Sleep(time.Second)
+		h := r.Handler(0)
+		heard := make([]*recorder, callers)
+		var waiting sync.WaitGroup
+		for i := range heard {
+			heard[i] = &recorder{header: http.Header{}}
+			waiting.Go(func() {
+				h.ServeHTTP(heard[i], httptest.NewRequest("GET", "/discovery/hosts?after=7&wait_ms=20000", nil))
+			})
+		}
+		time.Sleep(time.Second)
+		a.apply(8, members[3], members[4])
+		waiting.Wait()
+		for i, c := range heard {
+			if len(c.at) != 1 || c.at[0] != heard[0].at[0] || c.n != heard[0].n || c.n == 0 {
+				t.Fatalf("caller %d is written %d bytes in %d parts, not those of the first", i, c.n, len(c.at))
+			}
+		}
+	})
+}
+
+// The bounds fit: who is ahead is answered within a call's time, who waits for its whole list too, and what a relay that is
+// stale has missed can still be had elsewhere.
+func TestBounds(t *testing.T) {
+	for what, ok := range map[string]bool{
+		"two watches above fit into the time for who is ahead":           2*upstreamWatch < aheadHold,
+		"that fits into a call":                                          aheadHold < discovery.RelayTimeout,
+		"news and a turn fit into a call for the whole list":             aheadHold+longestQueue < discovery.RelayWhole,
+		"several watches and their pauses fit into the time to be stale": 3*(upstreamWatch+upstreamRetry) < staleAfter,
+		"a stale relay leaves time for others":                           staleAfter <= grebefork.ToldFailed/3,
+	} {
+		if !ok {
+			t.Errorf("not so: %s", what)
+		}
+	}
+}
