--- a/cmd/scale/main_test.go
+++ b/cmd/scale/main_test.go
@@ -108,6 +108,10 @@
 	if want := []string{"bytes", "list_in_force", "config_in_force", "cpu"}; !slices.Equal(held, want) {
 		t.Errorf("held against real agents: %q, want %q", held, want)
 	}
+	// Each agent asks for one whole list, when its configuration changes. One for each change of the list would be more.
+	if n := r.Control[0].WholeLists; n > 2*int64(r.Sizes.Agents) {
+		t.Errorf("%d agents asked for %d whole lists", r.Sizes.Agents, n)
+	}
 	if r.LateTold != 0 {
 		t.Errorf("the stand-in told %d changes late by its own clock", r.LateTold)
 	}
