Play relays in the scale run: parts of their own, killed and cut off like machines

Cause: the run had no way to show what the relay of lists changes at the target. Relays are at a region each; one is killed with its disk left, and starts again. The time that real agents add to a call is measured before the hollow ones are there, whose modelled calls took turns with them on the same cores. Ruled out: a proxy that counts between agents and relays (one hop and one process more a machine).

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -34,7 +34,7 @@
 )
 
 // roles are the parts of a run that this program is when it finds role.Env set.
-var roles = map[string]func() error{"control": control.Main, "hollow": hollow.Main}
+var roles = map[string]func() error{"control": control.Main, "relay": control.RelayMain, "hollow": hollow.Main}
 
 func main() {
 	if part := os.Getenv(role.Env); part != "" {
@@ -147,6 +147,7 @@
 	Real             *int     `placeholder:"N" help:"Agents that are real processes."`
 	Servers          *int     `placeholder:"N" help:"Counter servers."`
 	Services         *int     `placeholder:"N" help:"Services that the servers belong to."`
+	Relays           *int     `placeholder:"N" help:"Relays of the list between control and the agents; 0: none."`
 	Depth            *int     `placeholder:"N" help:"How deep calls go."`
 	Seed             *uint64  `placeholder:"N" help:"What the world is drawn from."`
 	Seconds          *float64 `placeholder:"S" help:"Length of the measured part."`
@@ -165,7 +166,7 @@
 		o.progress(note)
 	}
 	err = s.Override(scenario.Overrides{
-		Agents: z.Agents, Real: z.Real, Servers: z.Servers, Services: z.Services, Depth: z.Depth, Seed: z.Seed,
+		Agents: z.Agents, Real: z.Real, Servers: z.Servers, Services: z.Services, Depth: z.Depth, Relays: z.Relays, Seed: z.Seed,
 		Seconds: z.Seconds, ChangesPerMinute: z.ChangesPerMinute, CallsPerSecond: z.CallsPerSecond,
 	})
 	if err != nil {
--- a/internal/scale/control/control.go
+++ b/internal/scale/control/control.go
@@ -193,11 +193,15 @@
 		return err
 	}
 	defer s.mu.Unlock()
-	if i := slices.IndexFunc(args.Agents, func(a int) bool { return a < 0 || a >= len(s.ports) }); i >= 0 {
-		return fmt.Errorf("agent %d of %d", args.Agents[i], len(s.ports))
+	return cutPorts(s.ports, args)
+}
+
+func cutPorts(ports []*port, args CutArgs) error {
+	if i := slices.IndexFunc(args.Agents, func(a int) bool { return a < 0 || a >= len(ports) }); i >= 0 {
+		return fmt.Errorf("agent %d of %d", args.Agents[i], len(ports))
 	}
 	for _, agent := range args.Agents {
-		s.ports[agent].setCut(args.Cut)
+		ports[agent].setCut(args.Cut)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/scale/control/relay.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/grebefork/internal/relay"
+	"example.org/grebefork/internal/scale/meter"
+	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/role"
+)
+
+// RelayMain is the process of the role "relay": it serves RelayService by the name of Relay until its input ends.
+func RelayMain() error { return role.Serve("Relay", new(RelayService)) }
+
+// RelayArgs say what one relay follows, and where it answers.
+type RelayArgs struct {
+	Name      string
+	Discovery string   // the address of its own at control
+	State     string   // its directory; one that starts again has the list in it
+	Addrs     []string // to listen at, by agent
+	Lists     float64  // whole lists a second that it hands out
+}
+
+// Mark says that an agent's call held a revision, for the first time at this relay.
+type Mark struct {
+	Revision uint64
+	At       int64 // Unix time, nanoseconds
+}
+
+// RelayStats is what a relay measured since Begin, or since Start before it.
+type RelayStats struct {
+	Machine result.ControlMachine
+	In, Out [][]int64 // bytes by agent and second
+	Heard   [][]Mark  // by agent, revisions rising
+}
+
+// RelayService holds the role's methods. Its zero value is ready for Start; all others fail before it.
+type RelayService struct {
+	mu     sync.Mutex
+	name   string
+	relay  *relay.Relay
+	http   *http.Server
+	meter  *meter.Meter
+	ports  []*port
+	own    use // of the process, when the measured part began
+	counts relay.Figures
+	load   load
+
+	heardMu sync.Mutex
+	heard   [][]Mark
+}
+
+// relayCalls are the calls that a relay of a run holds at a time, for each agent that can call it.
+const relayCalls = 4
+
+var errNoRelay = errors.New("the relay has not been started")
+
+// Start makes the relay, which reads the list that it had, and listens for all agents.
+func (s *RelayService) Start(args RelayArgs, reply *StartReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relay != nil {
+		return errStarted
+	}
+	now, err := used()
+	if err != nil {
+		return err
+	}
+	r, err := relay.New(relay.Options{
+		Name: args.Name, Discovery: args.Discovery, State: args.State, Lists: args.Lists, Callers: relayCalls * len(args.Addrs),
+		Log: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})), Heard: s.heardAt,
+	})
+	if err != nil {
+		return err
+	}
+	s.heard = make([][]Mark, len(args.Addrs))
+	s.meter, s.http = meter.New(len(args.Addrs), now.at), r.HTTP()
+	for agent, addr := range args.Addrs {
+		p := newPort(agent, addr)
+		l, err := p.listen()
+		if err != nil {
+			s.http.Close()
+			return err
+		}
+		s.ports = append(s.ports, p)
+		go s.http.Serve(r.Listener(s.meter.Listener(l, agent), agent)) // until its port closes
+	}
+	s.name, s.own, s.relay = args.Name, now, r
+	s.load.begin(now)
+	go r.Run(context.Background()) // until the process ends
+	go s.load.follow()
+	reply.Ready = len(s.ports)
+	return nil
+}
+
+// heardAt notes when an agent first says that it holds a revision.
+func (s *RelayService) heardAt(agent int, revision uint64, at time.Time) {
+	s.heardMu.Lock()
+	defer s.heardMu.Unlock()
+	marks := s.heard[agent]
+	if n := len(marks); n == 0 || marks[n-1].Revision < revision {
+		s.heard[agent] = append(marks, Mark{revision, at.UnixNano()})
+	}
+}
+
+// started locks the service if it has been started.
+func (s *RelayService) started() error {
+	s.mu.Lock()
+	if s.relay == nil {
+		s.mu.Unlock()
+		return errNoRelay
+	}
+	return nil
+}
+
+// Cut makes agents' connections silent, new ones too, or ends that: silent ones are then reset.
+func (s *RelayService) Cut(args CutArgs, _ *struct{}) error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	return cutPorts(s.ports, args)
+}
+
+// Begin starts all counts from 0. What agents hold by then is known.
+func (s *RelayService) Begin(struct{}, *struct{}) error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	now, err := used()
+	if err != nil {
+		return err
+	}
+	s.own, s.counts = now, s.relay.Figures()
+	s.meter.Begin()
+	s.load.begin(now)
+	return nil
+}
+
+// Stats sums up what was measured. A relay's cost is real processor time: no cost of it is stated.
+func (s *RelayService) Stats(_ struct{}, reply *RelayStats) error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	now, err := used()
+	if err != nil {
+		return err
+	}
+	reply.In, reply.Out = s.meter.Bins()
+	s.heardMu.Lock()
+	for _, marks := range s.heard {
+		reply.Heard = append(reply.Heard, slices.Clone(marks))
+	}
+	s.heardMu.Unlock()
+	m, f := &reply.Machine, s.relay.Figures()
+	m.Role, m.Name = "relay", s.name
+	m.Calls, m.WholeLists, m.Refused = f.Calls-s.counts.Calls, f.Whole-s.counts.Whole, f.Refused-s.counts.Refused
+	m.BytesIn, m.BytesOut = total(reply.In), total(reply.Out)
+	if wall := now.at.Sub(s.own.at); wall > 0 {
+		m.CPUPercent = 100 * float64(now.cpu-s.own.cpu) / float64(wall)
+		m.Busy = m.CPUPercent / 100
+	}
+	m.Worst6s = s.load.worst6s()
+	m.RSSBytes = now.rss
+	return nil
+}
--- /dev/null
+++ b/internal/scale/control/relay_test.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"example.org/grebefork/internal/scale/scenario"
+)
+
+// startRelayAt plays a relay of so many agents in this process, at one of control's addresses.
+func startRelayAt(t *testing.T, above, state string, agents int) (*RelayService, []string) {
+	t.Helper()
+	s, addrs := new(RelayService), addresses(t, agents)
+	var reply StartReply
+	if err := s.Start(RelayArgs{Name: "r", Discovery: above, State: state, Addrs: addrs, Lists: 1000}, &reply); err != nil || reply.Ready != agents {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	return s, addrs
+}
+
+// A change comes to agents through a relay, and the relay says when they were heard to hold it and what it cost; agents that
+// are cut off hear nothing, and are reset when they are not any more.
+func TestRelayRole(t *testing.T) {
+	const agents = 3
+	c, above := start(t, agents+1, scenario.Control{Log: 16})
+	s, addrs := startRelayAt(t, above[agents], t.TempDir(), agents)
+	if err := s.Start(RelayArgs{}, &StartReply{}); err != errStarted {
+		t.Errorf("a second start: %v", err)
+	}
+	if err := s.Begin(struct{}{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	first := int64(0)
+	callAll(t, addrs, func(agent int, a *caller) error {
+		status, l, err := a.call("")
+		if err != nil || status != 200 || !l.Complete || *l.Revision != 41 {
+			return fmt.Errorf("%d, %v, %v", status, l.Revision, err)
+		}
+		return nil
+	})
+	change := func() ChangeReply {
+		var reply ChangeReply
+		if err := c.Change(ChangeArgs{Members: members(1)}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	made := change()
+	first = made.At
+	callAll(t, addrs, func(agent int, a *caller) error {
+		if status, l, err := a.call("?after=41&wait_ms=20000"); err != nil || status != 200 || *l.Revision != made.Revision {
+			return fmt.Errorf("%d, %+v, %v", status, l, err)
+		}
+		_, _, err := a.call(fmt.Sprintf("?after=%d", made.Revision))
+		return err
+	})
+	var stats RelayStats
+	if err := s.Stats(struct{}{}, &stats); err != nil {
+		t.Fatal(err)
+	}
+	m := stats.Machine
+	if m.Role != "relay" || m.Name != "r" || m.WholeLists != agents || m.Calls < 3*agents || m.BytesOut == 0 || m.CPUPercent <= 0 || m.RSSBytes == 0 {
+		t.Errorf("%+v", m)
+	}
+	for agent, marks := range stats.Heard {
+		last := marks[len(marks)-1]
+		if last.Revision != made.Revision || last.At < first || last.At > time.Now().UnixNano() {
+			t.Errorf("agent %d: %+v, made %+v", agent, marks, made)
+		}
+	}
+	if err := s.Cut(CutArgs{Agents: []int{agents}, Cut: true}, nil); err == nil {
+		t.Error("an agent that there is not can be cut off")
+	}
+	silent := dial(t, addrs[1])
+	if _, _, err := silent.call("?after=42"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Cut(CutArgs{Agents: []int{1}, Cut: true}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := silent.send("?after=42"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Cut(CutArgs{Agents: []int{1}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := silent.answer(); err == nil {
+		t.Error("a connection that was silent is answered")
+	}
+}
+
+// Before its start a relay says so, and one whose address is taken does not start.
+func TestRelayRoleFails(t *testing.T) {
+	s := new(RelayService)
+	for name, err := range map[string]error{
+		"Begin": s.Begin(struct{}{}, nil), "Cut": s.Cut(CutArgs{}, nil), "Stats": s.Stats(struct{}{}, &RelayStats{}),
+	} {
+		if err != errNoRelay {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if err := s.Start(RelayArgs{State: t.TempDir(), Discovery: "127.0.0.1:1", Addrs: []string{l.Addr().String()}, Lists: 1}, &StartReply{}); err == nil {
+		t.Error("it starts at an address that is taken")
+	}
+}
+
+func TestLoad(t *testing.T) {
+	begun := time.Now()
+	at := func(second int, cpu float64) use {
+		return use{at: begun.Add(time.Duration(second) * time.Second), cpu: time.Duration(cpu * float64(time.Second))}
+	}
+	var l load
+	l.begin(at(0, 1))
+	for i, cpu := range []float64{1, 1, 2, 3, 4, 4} { // seconds of processor time by then
+		l.note(at(i+1, cpu))
+	}
+	if got, want := l.worst6s(), 3.0/6; got < want-1e-9 || got > want+1e-9 {
+		t.Errorf("worst %v of six seconds, want %v", got, want)
+	}
+	l.note(at(6, 9)) // no time has passed
+	l.note(at(7, 10))
+	if got, want := l.worst6s(), 9.0/6; got < want-1e-9 || got > want+1e-9 {
+		t.Errorf("worst %v, want %v", got, want)
+	}
+	l.begin(at(7, 10))
+	if got := l.worst6s(); got != 0 {
+		t.Errorf("worst %v at the begin", got)
+	}
+}
--- a/internal/scale/run/gather.go
+++ b/internal/scale/run/gather.go
@@ -26,10 +26,11 @@
 
 // measured is what the parts said at the end.
 type measured struct {
-	control control.StatsReply
-	hollow  hollow.StatsReply
-	real    realagent.Stats
-	seconds float64 // since Begin
+	control  control.StatsReply // with what agents sent and heard at relays
+	machines []result.ControlMachine
+	hollow   hollow.StatsReply
+	real     realagent.Stats
+	seconds  float64 // since Begin
 }
 
 // gather asks every part for its figures and makes the result of them. A part that no longer answers leaves its own out.
@@ -41,7 +42,9 @@
 	if p.real != nil {
 		m.real = p.real.Stats()
 	}
-	errs = append(errs, p.control.Call(ctx, "Control.Stats", struct{}{}, &m.control))
+	all, machines, err := p.controlSide(ctx)
+	m.control, m.machines = *all, machines
+	errs = append(errs, err)
 	errs = append(errs, p.hollow.Call(ctx, "Hollow.Stats", hollow.StatsArgs{}, &m.hollow))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,13 +142,12 @@
 	return all
 }
 
-// machines lists control's machines and the source of configuration.
+// machines lists control, its relays and the source of configuration.
 func (p *play) machines(m *measured, spent time.Duration) {
-	control := m.control.Machine
-	if control.Role == "" {
-		control.Role, control.Name = "control", "control"
+	if len(m.machines) == 0 { // control no longer answers
+		m.machines = []result.ControlMachine{{Role: "control", Name: "control"}}
 	}
-	p.result.Control = append(p.result.Control, control, p.source(m.seconds, spent))
+	p.result.Control = append(append(p.result.Control, m.machines...), p.source(m.seconds, spent))
 }
 
 // source is what handing out configurations took: the stated time of each, in bins of a second. Its processor time and
--- a/internal/scale/run/play.go
+++ b/internal/scale/run/play.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,10 +41,13 @@
 	control *role.Child
 	hollow  *role.Child
 	real    *realagent.Fleet
-	addrs   []string // control's, by agent
-	reals   []int    // agents, by sort
+	addrs   []string // control's, by agent, and behind them by relay
+	relays  []*relayPart
+	reals   []int // agents, by sort
 	hollows []int
 
+	relayDir string // of the relays' lists; empty if there are none
+
 	begun    time.Time // of the measured part
 	ended    time.Time
 	spent    time.Duration // processor time of this process when it began
@@ -98,19 +102,18 @@
 	if err := p.startControl(ctx); err != nil {
 		return err
 	}
-	// Both sorts wait for control's turn; neither waits for the other, or on when the other has failed.
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	var both sync.WaitGroup
-	for _, start := range []func(context.Context) error{p.startHollow, p.startReal} {
-		both.Go(func() {
-			if err := start(ctx); err != nil {
-				stop(err)
-			}
-		})
+	if err := p.startRelays(ctx); err != nil {
+		return err
+	}
+	// What real agents add to a call is measured before the hollow ones are there: in the fleet none of these would take
+	// turns with them on the same cores.
+	if err := p.startReal(ctx); err != nil {
+		return err
+	}
+	if err := p.measureAdded(ctx); err != nil {
+		return err
 	}
-	both.Wait()
-	return context.Cause(ctx)
+	return p.startHollow(ctx)
 }
 
 func (p *play) draw() error {
@@ -155,9 +158,12 @@
 	for _, a := range p.world.Agents {
 		args.Agents = append(args.Agents, a.Name)
 	}
+	for k := range p.s.Relays.Count {
+		args.Agents = append(args.Agents, fmt.Sprintf("relay%d", k+1))
+	}
 	// A port that is free at the first address may be taken at another, or be taken meanwhile.
 	for try := range portTries {
-		if args.Addrs, err = controlAddrs(0, len(p.world.Agents)); err != nil {
+		if args.Addrs, err = controlAddrs(0, len(args.Agents)); err != nil {
 			return err
 		}
 		if err = p.control.Call(ctx, "Control.Start", args, &control.StartReply{}); err == nil {
@@ -198,7 +204,7 @@
 	if p.hollow, err = p.part(ctx, "hollow"); err != nil {
 		return err
 	}
-	args := hollow.StartArgs{Scenario: *p.s, Agents: p.hollows, Discovery: p.addrs, Known: p.known(false)}
+	args := hollow.StartArgs{Scenario: *p.s, Agents: p.hollows, Discovery: p.addrs, Relays: p.relaysOf(), Known: p.known(false)}
 	if p.echo != nil {
 		args.Echo = p.echo.Addrs()
 	}
@@ -221,7 +227,8 @@
 	up := context.AfterFunc(ctx, end)
 	defer up()
 	p.real, err = realagent.Start(life, realagent.Options{
-		Config: p.world.Config, Agents: p.reals, Echo: p.echo.Addrs(), Bin: p.o.Bin, Discovery: p.addrs, Known: p.known(false), Log: p.o.Log,
+		Config: p.world.Config, Agents: p.reals, Echo: p.echo.Addrs(), Bin: p.o.Bin, Discovery: p.addrs, Relays: p.relaysOf(),
+		Known: p.known(false), Log: p.o.Log,
 	})
 	return err
 }
@@ -259,8 +266,8 @@
 }
 
 func (p *play) controlStats(ctx context.Context) (*control.StatsReply, error) {
-	var stats control.StatsReply
-	return &stats, p.control.Call(ctx, "Control.Stats", struct{}{}, &stats)
+	stats, _, err := p.controlSide(ctx)
+	return stats, err
 }
 
 // unheard names the agents that have not heard of the revision that awaitList makes.
@@ -282,8 +289,8 @@
 	return strings.Join(names, ", ")
 }
 
-// measureAdded measures what real agents add to a call, before the measured part begins: no event and no change of the
-// configuration is on then, but the modelled agents do their work beside it.
+// measureAdded measures what real agents add to a call, before anything else goes on: of the run's parts only control, the
+// relays and the real agents are there, and nothing changes.
 func (p *play) measureAdded(ctx context.Context) error {
 	n := p.s.Budgets.AddedSamples
 	if p.real == nil || n == 0 {
@@ -302,6 +309,9 @@
 	if err := p.control.Call(ctx, "Control.Begin", struct{}{}, &struct{}{}); err != nil {
 		return err
 	}
+	if err := p.beginRelays(ctx); err != nil {
+		return err
+	}
 	if err := p.hollow.Call(ctx, "Hollow.Begin", struct{}{}, &struct{}{}); err != nil {
 		return err
 	}
@@ -318,11 +328,18 @@
 	if p.real != nil {
 		errs = append(errs, p.real.Close())
 	}
-	for _, c := range []*role.Child{p.hollow, p.control} {
+	parts := []*role.Child{p.hollow}
+	for _, r := range p.relays {
+		parts = append(parts, r.child)
+	}
+	for _, c := range append(parts, p.control) {
 		if c != nil {
 			errs = append(errs, c.Close())
 		}
 	}
+	if p.relayDir != "" {
+		errs = append(errs, os.RemoveAll(p.relayDir))
+	}
 	if p.echo != nil {
 		errs = append(errs, p.echo.Close())
 	}
--- /dev/null
+++ b/internal/scale/run/relays_test.go
@@ -0,0 +1,58 @@
+package run
+
+import (
+	"reflect"
+	"testing"
+
+	"example.org/grebefork/internal/scale/control"
+	"example.org/grebefork/internal/scale/result"
+)
+
+func TestShifted(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		to, more [][]int64
+		from     int
+		want     [][]int64
+	}{
+		{"from the begin", [][]int64{{1, 2}, {3}}, [][]int64{{10, 20}, {30, 40}}, 0, [][]int64{{11, 22}, {33, 40}}},
+		{"a later life", [][]int64{{1, 2}, {3}}, [][]int64{{10, 20}, {0, 0, 5}}, 1, [][]int64{{1, 12, 20}, {3, 0, 0, 5}}},
+		{"fewer agents", [][]int64{{1}, {2}}, [][]int64{{10}}, 0, [][]int64{{11}, {2}}},
+		{"none to be added to", nil, [][]int64{{1}}, 0, nil},
+	} {
+		if got := shifted(c.to, c.more, c.from); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// What is heard of an agent anywhere counts from when it was heard first.
+func TestAddHeard(t *testing.T) {
+	changes := []control.ChangeTold{{Revision: 5, Heard: []int64{100, 0, 0, 7}}, {Revision: 6, Heard: []int64{0, 0, 0, 7}}}
+	mark := func(revision uint64, at int64) control.Mark { return control.Mark{Revision: revision, At: at} }
+	addHeard(changes, [][]control.Mark{
+		{mark(4, 10), mark(6, 50)}, // both at once, before control heard of it
+		{mark(5, 20)},
+		nil,
+		{mark(6, 9)},
+		{mark(6, 9)}, // no agent of control's
+	})
+	want := []control.ChangeTold{{Revision: 5, Heard: []int64{50, 20, 0, 7}}, {Revision: 6, Heard: []int64{50, 0, 0, 7}}}
+	if !reflect.DeepEqual(changes, want) {
+		t.Errorf("%+v, want %+v", changes, want)
+	}
+}
+
+// The lives of a relay count together; rates are the worst of them.
+func TestMachineOf(t *testing.T) {
+	life := func(calls int64, worst float64) relayPast {
+		return relayPast{stats: control.RelayStats{Machine: result.ControlMachine{Role: "relay", Name: "r", Calls: calls, WholeLists: 1, Worst6s: worst}}}
+	}
+	got := machineOf([]relayPast{life(10, 0.5), life(5, 0.2)})
+	if got.Name != "r" || got.Calls != 15 || got.WholeLists != 2 || got.Worst6s != 0.5 {
+		t.Errorf("%+v", got)
+	}
+	if got := machineOf(nil); got != (result.ControlMachine{}) {
+		t.Errorf("no life: %+v", got)
+	}
+}
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -132,9 +132,6 @@
 	if err := p.awaitList(ctx); err != nil {
 		return err
 	}
-	if err := p.measureAdded(ctx); err != nil {
-		return err
-	}
 	if err := p.begin(ctx); err != nil {
 		return err
 	}
--- a/internal/scale/run/steps.go
+++ b/internal/scale/run/steps.go
@@ -124,7 +124,7 @@
 	if st.Begins && st.Event >= 0 {
 		ls.control.add(func(ctx context.Context) error { return p.count(ctx, st.Event, false) })
 	}
-	if st.ControlDown != nil || st.CutRegions != nil || len(st.Changes) > 0 {
+	if st.ControlDown != nil || st.CutRegions != nil || st.KillRelay || st.StartRelay || len(st.Changes) > 0 {
 		ls.control.add(func(ctx context.Context) error { return p.stepControl(ctx, st) })
 	}
 	ls.hollow.add(func(ctx context.Context) error {
@@ -241,6 +241,20 @@
 		if err := p.control.Call(ctx, "Control.Cut", control.CutArgs{Agents: p.far(), Cut: *st.CutRegions}, &struct{}{}); err != nil {
 			return err
 		}
+		if err := p.cutRelays(ctx, *st.CutRegions); err != nil {
+			return err
+		}
+	}
+	switch { // the first one, where there is one
+	case len(p.relays) == 0:
+	case st.KillRelay && p.relays[0].child != nil:
+		if err := p.killRelay(ctx, p.relays[0]); err != nil {
+			return err
+		}
+	case st.StartRelay && p.relays[0].child == nil:
+		if err := p.startRelay(ctx, p.relays[0]); err != nil {
+			return err
+		}
 	}
 	if on(st.ControlDown) || on(st.CutRegions) {
 		return p.mark(ctx, st.Event)
@@ -316,13 +330,17 @@
 
 // count keeps what the control side has counted so far, at the beginning or the end of an event.
 func (p *play) count(ctx context.Context, event int, ends bool) error {
-	stats, err := p.controlStats(ctx)
+	_, machines, err := p.controlSide(ctx)
 	if err != nil {
 		return err
 	}
+	c := counter{event: event, ends: ends}
+	for _, m := range machines {
+		c.whole, c.refused = c.whole+m.WholeLists, c.refused+m.Refused
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counters = append(p.counters, counter{event, ends, stats.Machine.WholeLists, stats.Machine.Refused})
+	p.counters = append(p.counters, c)
 	return nil
 }
 
--- a/internal/scale/scenario/load.go
+++ b/internal/scale/scenario/load.go
@@ -101,6 +101,7 @@
 // Overrides take the place of what a file says. Nil leaves that as it is; a pointer to 0 is a 0.
 type Overrides struct {
 	Agents, Real, Servers, Services, Depth *int
+	Relays                                 *int // 0: none, whatever else the file says of them
 	Seed                                   *uint64
 	ChangesPerMinute                       *float64 // 0: no changes but those of events
 	Seconds                                *float64
@@ -119,6 +120,9 @@
 	put(&next.Seed, o.Seed)
 	put(&next.Seconds, o.Seconds)
 	put(&next.Control.PerMinute, o.ChangesPerMinute)
+	if o.Relays != nil {
+		next.Relays.override(*o.Relays)
+	}
 	if o.ChangesPerMinute != nil && *o.ChangesPerMinute == 0 {
 		next.Control.ChangesDay = 0 // or its mean would be played
 	}
@@ -129,6 +133,20 @@
 	return nil
 }
 
+// override makes it so many relays. Those that the file says nothing of hand out as many whole lists as defaultAdmit says.
+func (r *Relays) override(count int) {
+	r.Count = count
+	if count == 0 {
+		*r = Relays{}
+	} else if r.AdmitPerS == 0 {
+		r.AdmitPerS = defaultAdmit
+	}
+}
+
+// defaultAdmit is how many whole lists a second a relay hands out where nothing is said: five of them then have 830 agents
+// served within a second.
+const defaultAdmit = 200
+
 func put[T any](field, value *T) {
 	if value != nil {
 		*field = *value
