Take up to 1,024 relays, of which an agent tries the first five of its own order

Cause: five were as many as an agent can go through within ToldFailed, and the configuration refused more; lists are not to be capped so low. Change: the bound of five is the client's, on its own order; the configuration takes 1,024.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,8 +25,8 @@
 	MinSockets = 2*ReservedSockets + 32
 )
 
-// maxRelays is how many relays that say nothing an agent can go through in what a silent watch leaves of ToldFailed.
-const maxRelays = 5
+// maxRelays bounds the list of relays as other lists are; how many of them one agent goes through is its client's affair.
+const maxRelays = 1024
 
 // Config is what the platform tells an agent at its start.
 type Config struct {
--- a/internal/discovery/relays.go
+++ b/internal/discovery/relays.go
@@ -27,6 +27,9 @@
 	relayWatch   = grebefork.ToldFailed / 3
 	relayDial    = grebefork.ToldFailed / 20
 
+	// mostTried is how many relays that say nothing an agent can go through in what a silent watch leaves of ToldFailed: it
+	// knows the first so many of its own order.
+	mostTried = 5
 	// silentRest is for how long a relay that said nothing, not even that it refuses, is passed over.
 	silentRest = grebefork.ToldFailed
 	// homeAgain is how often an agent that is not at its first relay tries to return there.
@@ -92,7 +95,8 @@
 }
 
 func newRoute(name string, p Place) *route {
-	addrs := append(ranked(name, p.Relays), p.Addr)
+	order := ranked(name, p.Relays)
+	addrs := append(order[:min(mostTried, len(order))], p.Addr)
 	return &route{
 		addrs: addrs, back: -1, tried: make([]bool, len(addrs)), waited: make([]bool, len(addrs)), silent: make([]time.Time, len(addrs)),
 	}
--- a/internal/discovery/relays_test.go
+++ b/internal/discovery/relays_test.go
@@ -384,3 +384,18 @@
 		<-ended
 	})
 }
+
+// Of many relays an agent goes through the first few of its own order, as many as there is time for, and then to discovery.
+func TestManyRelays(t *testing.T) {
+	all := make([]string, 1024)
+	for i := range all {
+		all[i] = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+	}
+	for _, n := range []int{0, 1, mostTried, mostTried + 1, len(all)} {
+		r := newRoute("agent", Place{Addr: "10.1.0.1:80", Relays: all[:n]})
+		want := append(ranked("agent", all[:n])[:min(n, mostTried)], "10.1.0.1:80")
+		if !slices.Equal(r.addrs, want) {
+			t.Errorf("of %d relays: %v, want %v", n, r.addrs, want)
+		}
+	}
+}
