Ask relays as ever after a cut: a jam of discovery rests discovery alone

Calls to discovery that hang in a cut count as a jam after four, and the back-off for that, 12 s and more, held off the relays too (discovery.go, followList). Change: with relays it rests discovery itself, and the module goes on by what is left. Ruled out: the relays themselves (they answer within 1.6 s of the return: 1 s of a call that hangs, 0.3 s of pause, 0.2 s of watch).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -272,9 +272,13 @@
 		}
 		if d.ask() {
 			// Danger: agents that all insist on the bound then keep the service busy with calls that nobody waits for any
-			// more, and none hears.
+			// more, and none hears. Relays are no such service: while it is left alone they are asked as ever. An agent that
+			// was cut off from all of them cannot tell that from a jam, and has to find those that are back within the bound.
 			if d.crowded >= crowdedCalls {
-				left = grebefork.ToldFailed << min(d.crowded-crowdedCalls+1, 4)
+				rest := grebefork.ToldFailed << min(d.crowded-crowdedCalls+1, 4)
+				if !d.route.rest(time.Now().Add(rest)) {
+					left = rest
+				}
 			}
 			d.askAgain(left)
 			continue
--- a/internal/discovery/relays.go
+++ b/internal/discovery/relays.go
@@ -92,6 +92,7 @@
 	back   int         // from where the first relay is tried again; -1: it is not
 	home   time.Time   // when the first relay was left, or tried again
 	turn   bool        // it is this agent's turn to ask discovery itself
+	rests  time.Time   // until then discovery itself is left alone
 }
 
 func newRoute(name string, p Place) *route {
@@ -131,8 +132,18 @@
 // begin starts a round of calls, which is made in this agent's turn where calls are made in turns.
 func (r *route) begin(now time.Time) {
 	r.clear()
-	r.turn, r.back = true, -1
-	r.at = r.next(now)
+	r.turn, r.back = !now.Before(r.rests), -1
+	if r.at = r.next(now); !r.turn && !r.relayed() {
+		r.at = 0
+	}
+}
+
+// rest has discovery itself left alone until then. It is false if there is nobody else to ask.
+func (r *route) rest(until time.Time) bool {
+	if len(r.addrs) > 1 {
+		r.rests = until
+	}
+	return len(r.addrs) > 1
 }
 
 func (r *route) clear() {
--- a/internal/discovery/relays_test.go
+++ b/internal/discovery/relays_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -123,8 +124,12 @@
 				Status: "503", StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{"Retry-After": {"1.25"}},
 			}, nil
 		case silentOn:
-			<-r.Context().Done()
-			return nil, r.Context().Err()
+			select {
+			case <-changed:
+				return nil, errors.New("reset by a host that is back")
+			case <-r.Context().Done():
+				return nil, r.Context().Err()
+			}
 		}
 		if first {
 			go func() {
@@ -167,7 +172,7 @@
 const service = "10.0.0.9:1"
 
 // follows starts an agent that holds revision 1, or nothing. Where the list is asked for, it asks a turn later than it
-// could, as the module would.
+// could, as the module would; a turn below 0 is the longest that the module takes for what is left.
 func follows(t *testing.T, asked, known bool, turn time.Duration) *alone {
 	relays := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
 	a := &alone{hostsOf: newHosts(append(relays, service)...), order: ranked("a", relays), heard: map[uint64]time.Time{}}
@@ -181,7 +186,11 @@
 			defer a.mu.Unlock()
 			if n.Mode == grebefork.ListFailed {
 				a.failed = append(a.failed, n.Left)
-				time.AfterFunc(turn, d.Ask)
+				wait := turn
+				if wait < 0 {
+					wait = max(300*time.Millisecond, cmp.Or(n.Left, grebefork.ToldFailed)-1500*time.Millisecond)
+				}
+				time.AfterFunc(wait, d.Ask)
 				return
 			}
 			if _, ok := a.heard[n.Revision]; !ok {
@@ -271,6 +280,35 @@
 	}
 }
 
+// An agent that was cut off from its relays and from discovery for any time hears within the bound once it is not any more:
+// what it could take for a jam of discovery holds it off from that alone.
+func TestBackFromACut(t *testing.T) {
+	for _, cut := range []time.Duration{time.Second, 5 * time.Second, 12 * time.Second, 20 * time.Second, 47 * time.Second, 5 * time.Minute} {
+		for name, relays := range map[string]int{"silent": silentOn, "stale": refusing} {
+			t.Run(fmt.Sprintf("%s relays/%v", name, cut), func(t *testing.T) { backFromACut(t, relays, cut) })
+		}
+	}
+}
+
+func backFromACut(t *testing.T, relays int, cut time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		a := follows(t, true, true, -1)
+		time.Sleep(10*time.Second + 100*time.Millisecond)
+		all := append(slices.Clone(a.order), service)
+		a.become(relays, a.order...)
+		a.become(silentOn, service)
+		time.Sleep(cut)
+		a.become(serving, all...)
+		a.change()
+		back := time.Now()
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		if at, ok := a.heardOf(2); !ok || at.Sub(back) > grebefork.ToldFailed {
+			t.Errorf("heard %v, %v after the cut", ok, at.Sub(back))
+		}
+	})
+}
+
 // A machine that says nothing shows in the dial already, in time for the other relays.
 func TestDialsToRelaysAreShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
