Take the last of a listener's queue a few at a time: it may hold more than there are descriptors

Cause: TestReplacementInOverload found 264 of 256 descriptors under the race detector on a busy machine: the process that is replaced took all that waited in its listener's queue at once before it closed it, without regard to its room (admission.go, last). Change: at most leastRoom at a time, each let in or closed before the next; the look that finds none still closes the listener in the same step. TestLastOfTheQueue fails without the change. Ruled out: the servers' connections of the old process (closed before its link), and the closing of idle ones (closed before their places pass on).

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -32,7 +32,7 @@
 	busy      int            // and so many where all have a request; both are the mutex's
 	finishing atomic.Bool    // no connection is waited for any more
 	closed    bool           // the listener is; Accept's
-	waiting   []*net.TCPConn // that it had then; Accept's
+	waiting   []*net.TCPConn // taken from its queue before that, a few at a time; Accept's
 
 	abandoned atomic.Bool // nothing more is owed to anybody
 
@@ -207,10 +207,10 @@
 			return tcp, err
 		}
 	}
-	if !a.closed {
-		a.closed = true
+	for !a.closed && len(a.waiting) == 0 {
 		var err error
-		if a.waiting, err = a.last(); err != nil {
+		if a.waiting, a.closed, err = a.last(); err != nil {
+			a.closed = true
 			return nil, err
 		}
 	}
@@ -413,16 +413,17 @@
 	a.SetDeadline(time.Unix(1, 0))
 }
 
-// last takes the connections that wait and closes the listener behind the last one. Danger: the kernel resets what is in
-// the queue of a listener that closes, so nothing else may come between the look that finds none and the close.
-func (a *admission) last() (waiting []*net.TCPConn, err error) {
+// last takes connections that wait, and closes the listener if it finds no more. Danger: the kernel resets what is in the
+// queue of a listener that closes, so nothing else may come between the look that finds none and the close. And a queue
+// may hold more connections than there are descriptors, so they are let in or closed a few at a time.
+func (a *admission) last() (waiting []*net.TCPConn, closed bool, err error) {
 	raw, err := a.SyscallConn()
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	var taken []int
 	if err := raw.Control(func(fd uintptr) {
-		for {
+		for len(taken) < leastRoom {
 			n, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			switch err {
 			case nil:
@@ -432,21 +433,22 @@
 				continue
 			}
 			syscall.Shutdown(int(fd), syscall.SHUT_RD) // which ends the listening
+			closed = true
 			return
 		}
 	}); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	for _, fd := range taken {
 		f := os.NewFile(uintptr(fd), "client")
 		c, err := net.FileConn(f)
 		f.Close()
 		if err != nil {
-			return waiting, err
+			return waiting, closed, err
 		}
 		waiting = append(waiting, c.(*net.TCPConn))
 	}
-	return waiting, nil
+	return waiting, closed, nil
 }
 
 // count is how many connections there are, and how many of them have no request open.
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -257,3 +257,39 @@
 		t.Errorf("%d requests went on", n)
 	}
 }
+
+// A process that is replaced takes what waits in its listener's queue a few at a time, as the queue may hold more than it has
+// descriptors, leaves none behind, and closes the listener behind the last.
+func TestLastOfTheQueue(t *testing.T) {
+	const queued = 5*leastRoom + 3
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &admission{TCPListener: l.(*net.TCPListener), figures: &figures{}, freed: make(chan struct{}, 1), most: queued, busy: queued}
+	for range queued {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	a.finish()
+	for i := range queued {
+		c, err := a.next()
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		defer c.Close()
+		if len(a.waiting) >= leastRoom {
+			t.Fatalf("%d more are taken at once", len(a.waiting))
+		}
+	}
+	if _, err := a.next(); !errors.Is(err, net.ErrClosed) || !a.shut {
+		t.Errorf("behind the last: %v, shut %v", err, a.shut)
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is open")
+	}
+}
