Say what a relay is about to hand on, and cut all connections of the tests' network

Cause: who counts acknowledgements has to know a revision before anybody can acknowledge it.

Change: Options.Told, called before the store changes; an answer that brings nothing new is none. In the tests each place knows every connection to it from before it is handed over, and cuts them all at its end.

--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -72,6 +72,7 @@
 	net   *wires
 	costs costs
 	addrs []string
+	at    []*place
 	http  *http.Server
 }
 
@@ -79,15 +80,19 @@
 	server := &lists.Server{Store: s.Store, Gate: &s.costs, Log: quiet}
 	s.http = server.HTTP()
 	for i, addr := range s.addrs {
-		l := server.Listener(s.net.listen(addr), i)
-		go s.http.Serve(l)
+		at := s.net.listen(addr)
+		s.at = append(s.at, at)
+		go s.http.Serve(server.Listener(at, i))
 	}
 }
 
 func (s *service) down() {
 	if s.http != nil {
 		s.http.Close()
-		s.http = nil
+		for _, p := range s.at {
+			p.cut()
+		}
+		s.http, s.at = nil, nil
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,7 +39,7 @@
 	saveEvery = 5 * time.Second // the list goes to the disk no more often
 )
 
-// Options are what a relay is made of. All but Heard, Dial and Figures have to be given.
+// Options are what a relay is made of. Those before Heard have to be given.
 type Options struct {
 	Name      string
 	Discovery string  // IP address and port of the service above
@@ -48,6 +48,7 @@
 	Callers   int     // calls that it holds at a time
 	Log       *slog.Logger
 	Heard     func(agent int, revision uint64, at time.Time) // if not nil: an agent's call says that it holds this revision
+	Told      func(revision uint64, lines int, at time.Time) // if not nil: what has come is about to be handed on
 	Dial      discovery.Dial                                 // nil: as the client of discovery does
 }
 
@@ -163,13 +164,25 @@
 	r.moved, r.listed = false, true
 	r.mu.Unlock()
 	if anew {
+		r.tells(revision, len(members))
 		r.store.Reset(revision, members)
 		return
 	}
 	r.apply(revision, changes(r.store.Members(), members))
 }
 
+// tells notes what is about to be handed on.
+func (r *Relay) tells(revision uint64, lines int) {
+	if r.o.Told != nil {
+		r.o.Told(revision, lines, time.Now())
+	}
+}
+
 func (r *Relay) apply(revision uint64, changed []discovery.Member) {
+	if revision == r.store.Revision() && len(changed) == 0 {
+		return // the first answer of a watch, which brought nothing
+	}
+	r.tells(revision, len(changed))
 	if err := r.store.Apply(revision, changed); err != nil {
 		// A service that changes what it has told already; who follows is not told of that, as it would not be there.
 		r.log.Error("changes that do not follow", "error", err)
--- a/internal/relay/wires_test.go
+++ b/internal/relay/wires_test.go
@@ -36,7 +36,7 @@
 func newWires() *wires { return &wires{places: map[string]*place{}} }
 
 // listen opens an address that is not open.
-func (w *wires) listen(addr string) net.Listener {
+func (w *wires) listen(addr string) *place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := &place{net: w, addr: addr, coming: make(chan net.Conn), gone: make(chan struct{}), silent: make(chan struct{})}
@@ -58,6 +58,13 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	w.mu.Lock()
+	open := w.places[addr] == p
+	p.conns = append(p.conns, there)
+	w.mu.Unlock()
+	if !open {
+		return nil, errors.New("connection refused")
+	}
 	select {
 	case p.coming <- there:
 	case <-p.gone:
@@ -65,9 +72,6 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	w.mu.Lock()
-	p.conns = append(p.conns, there)
-	w.mu.Unlock()
 	return here, nil
 }
 
@@ -76,10 +80,16 @@
 	w.mu.Lock()
 	p := w.places[addr]
 	w.mu.Unlock()
+	p.cut()
+}
+
+// cut closes the place and breaks its connections. Danger: the end of an http.Server leaves a connection open that it has
+// just accepted.
+func (p *place) cut() {
 	p.Close()
-	w.mu.Lock()
+	p.net.mu.Lock()
 	conns := p.conns
-	w.mu.Unlock()
+	p.net.mu.Unlock()
 	for _, c := range conns {
 		c.Close()
 	}
@@ -156,6 +166,7 @@
 	*lists.Store
 	net  *wires
 	addr string
+	at   *place
 	http *http.Server
 }
 
@@ -171,7 +182,8 @@
 func (a *above) up() {
 	s := &lists.Server{Store: a.Store, Calls: 100, Conns: 100, Log: quiet}
 	a.http = s.HTTP()
-	l := s.Listener(a.net.listen(a.addr), 0)
+	a.at = a.net.listen(a.addr)
+	l := s.Listener(a.at, 0)
 	go a.http.Serve(l)
 }
 
@@ -179,6 +191,7 @@
 func (a *above) down() {
 	if a.http != nil {
 		a.http.Close()
+		a.at.cut()
 		a.http = nil
 	}
 }
@@ -221,7 +234,7 @@
 		}
 	})
 	var once sync.Once
-	run := &running{Relay: r, addr: addr, net: w, stop: func() { once.Do(func() { cancel(); ended.Wait() }) }}
+	run := &running{Relay: r, addr: addr, net: w, stop: func() { once.Do(func() { cancel(); ended.Wait(); l.cut() }) }}
 	t.Cleanup(run.stop)
 	return run
 }
