Extrapolate a falling figure by its power law where the line goes below 0

Change: where the line says 0 or less, the power law through the same points speaks. Ruled out: the power law for all: bytes and calls are straight, and it would bend them by their intercepts.

--- a/internal/scale/sweep/fit.go
+++ b/internal/scale/sweep/fit.go
@@ -16,25 +16,33 @@
 	Bent      float64 `json:"bent"`      // how far that parabola leaves its chord within the sizes played
 	BentLeft  float64 `json:"bent_left"` // root mean square of what the parabola leaves
 	Exponent  float64 `json:"exponent"`  // of a power law, the slope of the logarithms; 0 where a figure is not above 0
+	AtOne     float64 `json:"at_one"`    // what that law says for size 1; 0 where there is none
 }
 
 // fit fits the line, the parabola and the power law. It wants as many ys as xs, three at least, of two sizes at least.
 func fit(xs, ys []float64) Fit {
 	var f Fit
 	f.Intercept, f.Slope = stat.LinearRegression(xs, ys, nil, false)
-	f.Residual = left(xs, ys, f.at)
+	f.Residual = left(xs, ys, func(x float64) float64 { return f.Intercept + f.Slope*x })
 	if a, b, c, ok := parabola(xs, ys); ok {
 		f.Quadratic = c
 		f.BentLeft = left(xs, ys, func(x float64) float64 { return a + b*x + c*x*x })
 		width := spreadOf(xs)
 		f.Bent = math.Abs(c) * width * width / 4
 	}
-	f.Exponent = exponent(xs, ys)
+	f.AtOne, f.Exponent = power(xs, ys)
 	return f
 }
 
-// at is what the line says for a size.
-func (f Fit) at(x float64) float64 { return f.Intercept + f.Slope*x }
+// at is what the line says for a size. Figures are not below 0: where the line of one that falls says that, as it does of
+// a fixed cost that more and more agents share, the power law speaks instead.
+func (f Fit) at(x float64) float64 {
+	y := f.Intercept + f.Slope*x
+	if y <= 0 && f.AtOne > 0 {
+		return f.AtOne * math.Pow(x, f.Exponent)
+	}
+	return y
+}
 
 // left is the root mean square of what a curve leaves.
 func left(xs, ys []float64, curve func(float64) float64) float64 {
@@ -70,17 +78,17 @@
 	return solved.AtVec(0), solved.AtVec(1) / scale, solved.AtVec(2) / scale / scale, true
 }
 
-// exponent is the slope of the logarithms.
-func exponent(xs, ys []float64) float64 {
+// power is the power law through the logarithms: its value at size 1 and its exponent; zeroes where one is not above 0.
+func power(xs, ys []float64) (atOne, exponent float64) {
 	var lx, ly []float64
 	for i := range xs {
 		if xs[i] <= 0 || ys[i] <= 0 {
-			return 0
+			return 0, 0
 		}
 		lx, ly = append(lx, math.Log(xs[i])), append(ly, math.Log(ys[i]))
 	}
-	_, e := stat.LinearRegression(lx, ly, nil, false)
-	return e
+	at, exponent := stat.LinearRegression(lx, ly, nil, false)
+	return math.Exp(at), exponent
 }
 
 // spreadOf is the distance from the least to the largest.
--- a/internal/scale/sweep/sweep_test.go
+++ b/internal/scale/sweep/sweep_test.go
@@ -54,9 +54,19 @@
 	}
 }
 
-func TestExponentOfFiguresNotAboveZero(t *testing.T) {
-	if e := exponent([]float64{1, 2, 3, 4}, []float64{0, 1, 2, 3}); e != 0 {
-		t.Errorf("exponent %g, want 0", e)
+func TestNoPowerLawAtZero(t *testing.T) {
+	if at, e := power([]float64{1, 2, 3, 4}, []float64{0, 1, 2, 3}); at != 0 || e != 0 {
+		t.Errorf("%g x^%g, want none", at, e)
+	}
+}
+
+func TestFallingFigureStaysAboveZero(t *testing.T) {
+	f := fit([]float64{30, 60, 120, 240}, []float64{4, 2, 1, 0.5})
+	if got := f.at(1200); !near(got, 0.1) {
+		t.Errorf("a cost that agents share is %g at 1200, want 0.1", got)
+	}
+	if got := f.at(60); !near(got, f.Intercept+60*f.Slope) {
+		t.Errorf("%g at 60, want what the line says", got)
 	}
 }
 
