--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -71,9 +72,10 @@
 var errOver = errors.New("over budget")
 
 type cli struct {
-	Run   runCmd   `cmd:"" help:"Play one scenario and hold it against its budgets."`
-	Sweep sweepCmd `cmd:"" help:"Play a scenario at several sizes and fit how each figure grows."`
-	Check checkCmd `cmd:"" help:"Say whether a scenario file can be played, without playing it."`
+	Run     runCmd     `cmd:"" help:"Play one scenario and hold it against its budgets."`
+	Sweep   sweepCmd   `cmd:"" help:"Play a scenario at several sizes and fit how each figure grows."`
+	Figures figuresCmd `cmd:"" help:"Let the figures of single runs join the figures file of a sweep."`
+	Check   checkCmd   `cmd:"" help:"Say whether a scenario file can be played, without playing it."`
 
 	Log   string `placeholder:"FILE" help:"Where the log goes, as JSON lines; standard error if absent."`
 	Level string `enum:"debug,info,warn,error" default:"warn" help:"Least level of the log: debug, info, warn or error."`
@@ -406,6 +408,32 @@
 	return all, nil
 }
 
+// figuresCmd adds to a figures file what single runs gave after its sweep.
+type figuresCmd struct {
+	File string            `arg:"" help:"A figures file, as sweep --json writes it."`
+	Add  map[string]string `required:"" placeholder:"NAME=FILE;..." help:"Results of single runs (run --json) whose figures join the file as run.NAME.FIGURE; those that it has under a name go."`
+}
+
+func (c *figuresCmd) Run(o *outputs) error {
+	all, err := sweep.Figures(c.File)
+	if err != nil {
+		return usageError{fmt.Errorf("file: %w", err)}
+	}
+	added, err := readRuns(c.Add)
+	if err != nil {
+		return usageError{err}
+	}
+	for name, r := range added {
+		maps.DeleteFunc(all, func(key string, _ sweep.Figure) bool { return strings.HasPrefix(key, "run."+name+".") })
+		sweep.AddRun(all, name, r)
+	}
+	if err := sweep.WriteFigures(c.File, all); err != nil {
+		return fmt.Errorf("file: %w", err)
+	}
+	fmt.Fprintf(o.out, "%s: %d figures, %d runs added\n", c.File, len(all), len(added))
+	return nil
+}
+
 type checkCmd struct {
 	File string `arg:"" help:"A scenario's TOML file."`
 }
--- a/cmd/scale/main_test.go
+++ b/cmd/scale/main_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"example.org/grebefork/internal/scale/result"
+	"example.org/grebefork/internal/scale/sweep"
 )
 
 const tiny = "../../deploy/scale/tiny.toml"
@@ -360,3 +361,42 @@
 		})
 	}
 }
+
+// Figures of single runs join a figures file, in the place of those that it had under the same name.
+func TestFigures(t *testing.T) {
+	dir := t.TempDir()
+	file, run := filepath.Join(dir, "figures.json"), filepath.Join(dir, "run.json")
+	write := func(path, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := `{"agents.x.slope":{"value":1.5,"unit":"B","run":"a sweep"},"run.a.gone":{"value":1},"run.ab.stays":{"value":2}}`
+	for _, c := range []struct {
+		name, figures, run string
+		code               int
+		says               string
+	}{
+		{"joined", old, `{"budgets":[{"name":"agent_cpu","measured":0.25,"unit":"%"}]}`, 0, "3 figures, 1 runs added"},
+		{"no figures file", "", `{}`, exitUsage, "file: "},
+		{"a spoilt figures file", "[", `{}`, exitUsage, "file: "},
+		{"a spoilt run", old, `{"budgets":`, exitUsage, "add: "},
+	} {
+		os.Remove(file)
+		if c.figures != "" {
+			write(file, c.figures)
+		}
+		write(run, c.run)
+		var out, errOut strings.Builder
+		if code := command(t.Context(), []string{"figures", file, "--add", "a=" + run}, &out, &errOut); code != c.code || !strings.Contains(out.String()+errOut.String(), c.says) {
+			t.Errorf("%s: exit %d, %s%s", c.name, code, &out, &errOut)
+		}
+		if c.code != 0 {
+			continue
+		}
+		all, err := sweep.Figures(file)
+		if _, gone := all["run.a.gone"]; err != nil || gone || all["run.a.budget.agent_cpu"].Value != 0.25 || all["run.ab.stays"].Value != 2 || all["agents.x.slope"].Value != 1.5 {
+			t.Errorf("%s: %v, %v", c.name, all, err)
+		}
+	}
+}
