--- a/cmd/scale/bend.go
+++ b/cmd/scale/bend.go
@@ -38,6 +38,10 @@
 			}
 			return late
 		})
+		if s.Relays.KillAt > *z.Seconds {
+			notes = append(notes, fmt.Sprintf("relays: the one killed at %g s is left alone, the run is over before it", s.Relays.KillAt))
+			s.Relays.KillAt, s.Relays.RestartAfter = 0, 0
+		}
 	}
 	for i := range s.Events {
 		e := &s.Events[i]
--- a/cmd/scale/main_test.go
+++ b/cmd/scale/main_test.go
@@ -362,6 +362,21 @@
 	}
 }
 
+// A shorter run of the target leaves out what comes after its end, the loss of a relay among it.
+func TestBendRelays(t *testing.T) {
+	seconds := 10.0
+	for _, c := range []struct {
+		z      sizes
+		killAt float64
+	}{{sizes{}, 90}, {sizes{Seconds: &seconds}, 0}} {
+		c.z.Scenario = "../../deploy/scale/target.toml"
+		s, err := c.z.load(&outputs{err: &bytes.Buffer{}})
+		if err != nil || s.Relays.Count != 5 || s.Relays.KillAt != c.killAt {
+			t.Errorf("%v, %+v", err, s)
+		}
+	}
+}
+
 // Figures of single runs join a figures file, in the place of those that it had under the same name.
 func TestFigures(t *testing.T) {
 	dir := t.TempDir()
