Take four vain calls for a jam again where answers say that the service is too slow

Change: four calls are enough where the quickest answered call, times the agents, is ToldFailed or more; else 12 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -43,9 +43,12 @@
 	// all agents within the bound. Danger: a service that is down may refuse late as well. What is left of the bound makes
 	// calls follow each other fast at its end, so their number says little; over two bounds an outage that agents are to
 	// make up for has ended.
-	jamShows    = 2 * grebefork.ToldFailed
-	dialTimeout = time.Second
-	firstRetry  = 50 * time.Millisecond // where calls cost nothing
+	jamShows = 2 * grebefork.ToldFailed
+	// crowdedCalls of them are enough where the answers that there were say that the service cannot answer each agent once
+	// within the bound.
+	crowdedCalls = 4
+	dialTimeout  = time.Second
+	firstRetry   = 50 * time.Millisecond // where calls cost nothing
 )
 
 var (
@@ -161,9 +164,12 @@
 	asking   time.Time // when the last call began
 	failures int       // calls in a row
 	crowded  time.Time // when the first of the calls in a row began that failed after a wait for the service; zero: none did
+	vain     int       // how many these calls are
 	rests    int       // times in a row that the bound was given up for that
-	told     time.Time // when what they missed counts as told; zero if they missed nothing
-	revision *uint64   // of the list held; nil when the whole list is wanted
+
+	quickest time.Duration // of the calls that did not wait and were answered; 0: none was
+	told     time.Time     // when what they missed counts as told; zero if they missed nothing
+	revision *uint64       // of the list held; nil when the whole list is wanted
 }
 
 // StartFrom makes the list that the agent held before its start the one that changes follow; it is called before Run. Danger: discovery works
@@ -278,7 +284,7 @@
 			// Danger: agents that all insist on the bound then keep the service busy with calls that nobody waits for any
 			// more, and none hears. Relays are no such service: while it is left alone they are asked as ever. An agent that
 			// was cut off from all of them cannot tell that from a jam, and has to find those that are back within the bound.
-			if !d.crowded.IsZero() && time.Since(d.crowded) >= jamShows {
+			if d.jammed() {
 				d.rests = min(d.rests+1, 4)
 				rest := grebefork.ToldFailed << d.rests
 				if !d.route.rest(time.Now().Add(rest)) {
@@ -299,6 +305,12 @@
 	}
 }
 
+// jammed says that calls fail because the service cannot answer all agents within the bound.
+func (d *Client) jammed() bool {
+	tooSlow := d.quickest*time.Duration(d.set().Module.Agents) >= grebefork.ToldFailed
+	return tooSlow && d.vain >= crowdedCalls || !d.crowded.IsZero() && time.Since(d.crowded) >= jamShows
+}
+
 // askAgain has the module decide when to ask again, by how long there is.
 func (d *Client) askAgain(left time.Duration) {
 	select { // what was asked before is part of the failure
@@ -367,7 +379,10 @@
 			d.tell(News{Mode: grebefork.ListDelta, Members: l.Members, Revision: *l.Revision})
 		}
 		heard, d.revision, d.failures, d.told = true, l.Revision, 0, time.Time{}
-		d.crowded, d.rests = time.Time{}, 0
+		d.crowded, d.vain, d.rests = time.Time{}, 0, 0
+		if took := time.Since(began); wait == 0 && (d.quickest == 0 || took < d.quickest) {
+			d.quickest = took
+		}
 		if d.answered != nil {
 			d.answered(began, *l.Revision)
 		}
@@ -386,11 +401,11 @@
 	switch {
 	case relayed: // it says nothing of the service itself
 	case wait == 0 && time.Since(began) >= leastTimeout:
-		if d.crowded.IsZero() {
+		if d.vain++; d.crowded.IsZero() {
 			d.crowded = began
 		}
 	default:
-		d.crowded, d.rests = time.Time{}, 0
+		d.crowded, d.vain, d.rests = time.Time{}, 0, 0
 	}
 	if wait > 0 && !errors.Is(err, ErrCutList) {
 		began = time.Now() // until then the watch would have told
