Sum up a control machine's processor time and memory in one place

Cause: control and relay of the scale run wrote the same sums. Change: use.fill serves both; the same figures, the relay's busy share derived from it as before. Measured: race tests of control and run, and the tiny run whole, pass.

--- a/internal/scale/control/control.go
+++ b/internal/scale/control/control.go
@@ -238,10 +238,7 @@
 	m := &reply.Machine
 	m.Role, m.Name = "control", "control"
 	m.BytesIn, m.BytesOut = total(reply.In), total(reply.Out)
-	if wall := now.at.Sub(s.own.at); wall > 0 {
-		m.CPUPercent = 100 * float64(now.cpu-s.own.cpu) / float64(wall)
-	}
-	m.RSSBytes = now.rss
+	now.fill(m, s.own)
 	s.queue.stats(time.Now(), m)
 	return nil
 }
--- a/internal/scale/control/machine.go
+++ b/internal/scale/control/machine.go
@@ -5,6 +5,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"example.org/grebefork/internal/scale/result"
 )
 
 // use is what this process had used by a time.
@@ -29,3 +31,11 @@
 	}
 	return use{time.Now(), time.Duration(r.Utime.Nano() + r.Stime.Nano()), float64(resident) * float64(os.Getpagesize())}, nil
 }
+
+// fill puts what was used since an earlier time, and is held now, into a machine's figures.
+func (u use) fill(m *result.ControlMachine, since use) {
+	if wall := u.at.Sub(since.at); wall > 0 {
+		m.CPUPercent = 100 * float64(u.cpu-since.cpu) / float64(wall)
+	}
+	m.RSSBytes = u.rss
+}
--- a/internal/scale/control/relay.go
+++ b/internal/scale/control/relay.go
@@ -165,11 +165,8 @@
 	m.Role, m.Name = "relay", s.name
 	m.Calls, m.WholeLists, m.Refused = f.Calls-s.counts.Calls, f.Whole-s.counts.Whole, f.Refused-s.counts.Refused
 	m.BytesIn, m.BytesOut = total(reply.In), total(reply.Out)
-	if wall := now.at.Sub(s.own.at); wall > 0 {
-		m.CPUPercent = 100 * float64(now.cpu-s.own.cpu) / float64(wall)
-		m.Busy = m.CPUPercent / 100
-	}
+	now.fill(m, s.own)
+	m.Busy = m.CPUPercent / 100
 	m.Worst6s = s.load.worst6s()
-	m.RSSBytes = now.rss
 	return nil
 }
