Force the order in which a watch ends and a relay's age is looked at in its test

Cause: TestHandsOn was red once in ./test.sh: the watch above ends in the very moment in which the test goes on, and the age was looked at before its answer was taken in (301 ms of 200). Change: the test waits for that; its bounds stay.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -64,6 +64,7 @@
 		}
 		a.apply(11) // a revision of no changes
 		time.Sleep(upstreamWatch)
+		synctest.Wait() // the watch above ends in this moment
 		ask(t, w, r.addr, "?after=10&wait_ms=0").is(t, "no changes", 11, false, "")
 		for _, query := range []string{"?after=x", "?after=1&wait_ms=-1", "?after=1&later=1", "?after=%zz"} {
 			if got := ask(t, w, r.addr, query); got.status != http.StatusBadRequest {
