Accept no client before discovery has been called once after a start

Cause: firstPollDelay spread the first polls by rank over a bound that begins with the process, and clients were served meanwhile.

Change: the client of discovery tells when its first round of calls has ended, answered or failed; the agent accepts clients from then on, after 4 s at most.

TestNoClientBeforeTheFirstRound failed in all four cases without the wait. TestStartsFromTheKnownList waited for the agent before it answered its first call, which would now wait for the answer; it looks at the same calls. The hashes of TestDecisionTrace change with the first poll after a cached list; with the polling of before they are the former ones.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"time"
 
 	"example.org/ryeloft/internal/admin"
 	"example.org/ryeloft/internal/balancer"
@@ -21,6 +22,10 @@
 	"example.org/ryeloft/internal/upstream"
 )
 
+// maxFirstRound bounds the wait for the first calls of discovery. An agent has to be ready in 6 s whatever becomes of them, and
+// one that replaces another process waits for endpoints besides.
+const maxFirstRound = 4 * time.Second
+
 // Run serves until the context ends, then finishes its open requests and returns nil. Of a reloaded configuration it applies
 // the settings and the addresses of discovery and its relays.
 func Run(ctx context.Context, cfg *config.Config, reloads <-chan config.ReloadResult, log *slog.Logger) error {
@@ -58,6 +63,7 @@
 // serveClients accepts clients until the context ends, and then shuts the agent down. The parts run with the context work;
 // peers is nil if the process has no others.
 func (a *agent) serveClients(ctx, work context.Context, peers *handover.Handover, listening func() (*net.TCPListener, error)) error {
+	a.awaitFirstRound(ctx)
 	if peers != nil {
 		a.loop.AwaitEndpoints(ctx)
 	}
@@ -81,6 +87,18 @@
 	return a.shutDown(work, peers, served)
 }
 
+// awaitFirstRound waits until discovery has been called once. The list that the agent starts from may be so old that changes
+// count as notified which it lacks, and a request could be sent to a server that was removed.
+func (a *agent) awaitFirstRound(ctx context.Context) {
+	limit := time.NewTimer(maxFirstRound)
+	defer limit.Stop()
+	select {
+	case <-a.discovery.FirstRound():
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // agent is the parts of one process.
 type agent struct {
 	cfg       *config.Config
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -29,6 +29,14 @@
 
 // start runs an agent and waits until it is up, which it is once it has a list that names a server.
 func start(t *testing.T, cfg *config.Config) *testAgent {
+	t.Helper()
+	r := launch(t, cfg)
+	r.awaitReady(t)
+	return r
+}
+
+// launch runs an agent until the test ends.
+func launch(t *testing.T, cfg *config.Config) *testAgent {
 	t.Helper()
 	listener, err := listen(t.Context(), cfg.Listen, true)
 	if err != nil {
@@ -47,6 +55,12 @@
 		stop()
 		r.client.CloseIdleConnections()
 	})
+	return r
+}
+
+// awaitReady waits until the agent is up.
+func (r *testAgent) awaitReady(t *testing.T) {
+	t.Helper()
 	for begun := time.Now(); time.Since(begun) < agenttest.Timeout; time.Sleep(time.Millisecond) {
 		resp, err := r.client.Get(r.url + protocol.PathReady)
 		if err != nil {
@@ -54,11 +68,10 @@
 		}
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			return r
+			return
 		}
 	}
 	t.Fatal("the agent does not come up")
-	return nil
 }
 
 // request makes a client's request of a class.
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -33,7 +36,7 @@
 		if cfg.CachedEndpoints, err = discovery.Parse([]byte(c.known)); err != nil {
 			t.Fatal(err)
 		}
-		start(t, cfg)
+		a := launch(t, cfg)
 		for i, want := range c.want {
 			if q := agenttest.Receive(t, "call", l.Calls); !strings.HasPrefix(q, want) || want == "" && q != "" {
 				t.Errorf("known %s: call %d asks %q, want %q", c.known, i, q, want)
@@ -42,6 +45,76 @@
 				l.Next <- []byte(c.change)
 			}
 		}
+		a.awaitReady(t)
+	}
+}
+
+// An agent that starts with an old list takes no client before discovery has answered it, or has failed to: the list may name
+// servers whose removal counts as notified. One that cannot be answered takes clients in time.
+func TestNoClientBeforeTheFirstRound(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode    string
+		answers bool // discovery answers in the end; it hangs otherwise
+	}{
+		"polled":         {`"subscribe"`, true},
+		"pushed":         {`"automatic"`, true},
+		"polled, silent": {`"subscribe"`, false},
+		"pushed, silent": {`"automatic"`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			removed, x := agenttest.NewServer(t, agenttest.Serve), agenttest.NewServer(t, agenttest.Serve)
+			calls, answer := make(chan string, 100), make(chan []byte, 1)
+			service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls <- r.URL.RawQuery
+				select {
+				case list := <-answer:
+					_, _ = w.Write(list)
+				case <-r.Context().Done():
+				}
+			}))
+			defer service.Close()
+			defer service.CloseClientConnections()
+			text := strings.NewReplacer(`"automatic"`, c.mode, `"extraFloor"`, `"mustAskIn":10000,"extraFloor"`).Replace(agenttest.Settings)
+			cfg := agenttest.Config(t, service.Listener.Addr().String(), text)
+			var err error
+			if cfg.CachedEndpoints, err = discovery.Parse(agenttest.List(7, true, agenttest.Member("removed", removed.Addr, "Ready", 0))); err != nil {
+				t.Fatal(err)
+			}
+			begun := time.Now()
+			listening := make(chan struct{})
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			listener, err := listen(ctx, cfg.Listen, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_ = run(ctx, cfg, nil, agenttest.DiscardLogger, func() (*net.TCPListener, error) {
+					close(listening)
+					return listener, nil
+				})
+			}()
+			agenttest.Receive(t, "call", calls)
+			select {
+			case <-listening:
+				t.Fatal("clients are taken before the first call has ended")
+			case <-time.After(200 * time.Millisecond): // nothing shows that nothing happens
+			}
+			if !c.answers {
+				agenttest.Receive(t, "listener", listening)
+				if took := time.Since(begun); took > 6*time.Second {
+					t.Errorf("takes clients after %v", took)
+				}
+				return
+			}
+			answer <- agenttest.List(8, true, agenttest.Member("x", x.Addr, "Ready", 0))
+			agenttest.Receive(t, "listener", listening)
+			a := &testAgent{url: "http://" + listener.Addr().String(), client: &http.Client{Transport: &http.Transport{}}}
+			if status, _ := a.do(t, a.request("safe", "15000m")); status != http.StatusOK || len(removed.Requests) > 0 {
+				t.Errorf("answered %d, %d requests to the removed server", status, len(removed.Requests))
+			}
+		})
 	}
 }
 
--- a/internal/balancer/polling.go
+++ b/internal/balancer/polling.go
@@ -12,6 +12,9 @@
 	// minPollInterval is the least time between two polls of an agent. It is also the turn of each agent in a first
 	// poll where the latency of the service is not known.
 	minPollInterval = 300 * time.Millisecond
+	// startPollWindow is the time in which all agents poll once that start together. No client is served before, so it is
+	// no longer than a service needs that can answer all agents in time.
+	startPollWindow = NotifyBoundAfterFailure / 2
 	// pollReserve is the part of the remaining time that is kept for a poll that is lost and for another one.
 	pollReserve = 1500 * time.Millisecond
 	// maxQuickPolls is how many rejected polls in a row are followed by another one soon. A service that is down
@@ -65,7 +68,11 @@
 func (b *Balancer) firstPollDelay(ev *Event) time.Duration {
 	allTurns := max(minPollInterval, ev.PollLatency).Seconds() * float64(b.settings.Agents)
 	turn := (float64(b.settings.Rank) + b.rng.Float64()) / float64(b.settings.Agents)
-	return seconds(min(b.pollWindow(ev.Remaining).Seconds(), allTurns) * turn)
+	window := b.pollWindow(ev.Remaining)
+	if ev.Update == EndpointsCached { // nothing tells the age of the list, and clients wait
+		window = min(window, startPollWindow)
+	}
+	return seconds(min(window.Seconds(), allTurns) * turn)
 }
 
 // nextPollDelay returns the wait for a further poll where the latency of the service is not known: a third of the
--- a/internal/balancer/polling_test.go
+++ b/internal/balancer/polling_test.go
@@ -34,6 +34,26 @@
 	onlyAction(t, h.request(1, idempotent), ActionSend)
 }
 
+// The agents of a fleet that start together poll in turn within startPollWindow, which leaves them time to be ready.
+func TestFirstPollsOfAFleetComeInTurn(t *testing.T) {
+	for _, agents := range []int{1, 6, 350, 900} {
+		last := time.Duration(0)
+		for rank := range agents {
+			s := testSettings()
+			s.PollEndpoints = true
+			s.MaxPollInterval = 10 * time.Second
+			s.Agents = agents
+			s.Rank = rank
+			h := newHarness(t, s)
+			a := onlyAction(t, h.handle(Event{Kind: EventDiscovery, Update: EndpointsCached, Endpoints: readyEndpoints(2)}), ActionSetTimer)
+			if a.Delay < last || a.Delay > min(startPollWindow, minPollInterval*time.Duration(agents)) {
+				t.Errorf("rank %d of %d polls after %v, the one before after %v", rank, agents, a.Delay, last)
+			}
+			last = a.Delay
+		}
+	}
+}
+
 // The next poll leaves time for its answer, and for another poll, before the agent counts as notified of what it missed.
 // Without such a bound agents poll in turn, and then less and less often, but within MaxPollInterval.
 func TestPollsWithinRemainingTime(t *testing.T) {
--- a/internal/balancer/trace_amd64_test.go
+++ b/internal/balancer/trace_amd64_test.go
@@ -312,14 +312,14 @@
 		seed uint64
 		want string
 	}{
-		{1, "6303dbb8808a5ef6"},
-		{2, "e1bba6a7b114c957"},
-		{3, "7a3454b4a40a3f6c"},
-		{4, "ca0ba3198688e75e"},
-		{5, "12b0c897dab6e324"},
-		{6, "d265c8edaac76e05"},
-		{7, "ad0406a3b29da965"},
-		{8, "40aaefb9182032a2"},
+		{1, "50ea5cefb3b072ec"},
+		{2, "a7e29dbffc75561a"},
+		{3, "d03b5ac2a0a4684c"},
+		{4, "b6c072f46d41ba85"},
+		{5, "0c77dcec55e6ad90"},
+		{6, "bf5b70e268c86625"},
+		{7, "2816ef87adfca957"},
+		{8, "9547a11f6b4d4160"},
 	} {
 		t.Run(fmt.Sprint("seed ", test.seed), func(t *testing.T) {
 			driver := newTraceDriver(t, test.seed)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -62,6 +62,7 @@
 	httpClient    http.Client
 	pollRequested chan struct{} // holds one request
 	startedAt     time.Time
+	firstRound    chan struct{} // closed at the end of the first round
 
 	target   Target
 	route    *route
@@ -73,6 +74,7 @@
 	overload       overload
 	latency        latencyEstimate
 	deadline       notifyDeadline
+	firstRoundOver bool
 }
 
 // New makes a client, which calls nobody before Run.
@@ -92,6 +94,7 @@
 		httpClient:    newHTTPClient(o.Dial),
 		pollRequested: make(chan struct{}, 1),
 		startedAt:     time.Now(),
+		firstRound:    make(chan struct{}),
 		target:        target,
 		route:         newRoute(o.Name, target),
 		latency:       newLatencyEstimate(),
@@ -106,6 +109,19 @@
 	}
 }
 
+// FirstRound returns a channel that is closed once an answer has been notified, or all addresses that were to be tried have failed
+// once. Until then the list that the agent started from may be older than the changes that count as notified, though discovery
+// can be reached.
+func (c *Client) FirstRound() <-chan struct{} { return c.firstRound }
+
+// endFirstRound notes that a round of calls has ended.
+func (c *Client) endFirstRound() {
+	if !c.firstRoundOver {
+		c.firstRoundOver = true
+		close(c.firstRound)
+	}
+}
+
 // Run follows the list until the context ends, from each migration on at its target. It returns once the last call of
 // Notify, OnPoll and OnAnswer has returned, so that none of these may wait for Run.
 func (c *Client) Run(ctx context.Context, migrations <-chan Target) {
@@ -208,6 +224,7 @@
 	remaining := c.deadline.remaining()
 	c.failures++
 	c.logFailure(err, remaining)
+	c.endFirstRound()
 	if !c.pollMode() {
 		return sleep(ctx, pushBackoff(c.failures, c.settings().DrainGrace))
 	}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -37,6 +37,7 @@
 	rejectEvery    int        // all, or each so many-th
 	rejections     *rand.Rand // if not nil: by which a quarter of the calls is rejected at once
 	calls          int
+	worked         int // of the calls, those that cost work
 	revision       uint64
 	changed        chan struct{} // closed at the next change
 	broken         chan struct{} // closed when the calls that are open now break
@@ -67,6 +68,13 @@
 	s.broken = make(chan struct{})
 }
 
+// workCount is how many calls it has taken on that cost it work.
+func (s *service) workCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worked
+}
+
 func (s *service) setDown(down bool) {
 	s.mu.Lock()
 	s.down = down
@@ -111,6 +119,7 @@
 	}
 	free := continues || s.down || s.rejectsEarly && a.rejected
 	if !free {
+		s.worked++
 		_, a.done = s.queue.Reserve(s.cost)
 	}
 	return a
@@ -257,6 +266,9 @@
 		id, addr, cell, state)
 }
 
+// firstRoundEnded is what a follower records, beside the cells of the lists, when its agent begins to serve.
+const firstRoundEnded = 1 << 40
+
 // follower is one agent of a fleet that follows the list. It records the cells that it is notified of.
 type follower struct {
 	caller
@@ -278,6 +290,17 @@
 
 // startFleet starts so many agents that know a list and draw their random numbers by a seed.
 func startFleet(t *testing.T, agents int, text string, services map[string]*service, list []byte, seed uint64) []*follower {
+	ranks := make([]int, agents)
+	for i := range ranks {
+		ranks[i] = i
+	}
+	return startRanks(t, agents, ranks, text, services, list, seed)
+}
+
+// startRanks is startFleet for some agents of a fleet, by their ranks.
+func startRanks(
+	t *testing.T, agents int, ranks []int, text string, services map[string]*service, list []byte, seed uint64,
+) []*follower {
 	known, err := discovery.Parse(list)
 	if err != nil {
 		t.Fatal(err)
@@ -285,12 +308,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
 	t.Cleanup(func() { stop(); ended.Wait() })
-	fleet := make([]*follower, agents)
-	for i := range fleet {
-		own := strings.Replace(text, `"replicasOfMe":1,"rank":0`, fmt.Sprintf(`"replicasOfMe":%d,"rank":%d`, agents, i), 1)
+	fleet := make([]*follower, len(ranks))
+	for i, rank := range ranks {
+		own := strings.Replace(text, `"replicasOfMe":1,"rank":0`, fmt.Sprintf(`"replicasOfMe":%d,"rank":%d`, agents, rank), 1)
 		f := &follower{
 			caller:     caller{services: services},
-			Agent:      discoverytest.NewAgent(t, []byte(own), seed<<32+uint64(i)),
+			Agent:      discoverytest.NewAgent(t, []byte(own), seed<<32+uint64(rank)),
 			migrations: make(chan discovery.Target),
 		}
 		client := discovery.New(discovery.Options{
@@ -302,6 +325,13 @@
 		f.Poll = client.Poll
 		ended.Go(func() { f.Run(ctx) })
 		ended.Go(func() { client.Run(ctx, f.migrations) })
+		ended.Go(func() {
+			select {
+			case <-client.FirstRound():
+				f.Record(firstRoundEnded)
+			case <-ctx.Done():
+			}
+		})
 		f.notify(ctx, discovery.WatchEvent{Update: balancer.EndpointsCached, Members: known.Members})
 		fleet[i] = f
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -130,6 +130,7 @@
 	if wait == 0 && !c.route.relayed() {
 		c.latency.recordAnswer(time.Since(c.lastCall.began))
 	}
+	c.endFirstRound()
 	if c.onAnswer != nil {
 		c.onAnswer(c.lastCall.began, *list.Revision)
 	}
