Add the classes of a reload to the metrics before handlers can see its settings

Callers of a class that a reload brings could lose a request: rejected without the event loop, it panicked in its handler and its connection closed with no answer.

Cause: adopt stored the pointer to the settings first and added the classes to the metrics behind it; RequestAnswered writes through a map entry that is not there yet. Now all that the settings need stands before the swap, and a request of a class that is not known is counted by adding the class.

--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -8,14 +8,15 @@
 	"example.org/ryeloft/internal/settings"
 )
 
-// adopt swaps the settings for others, in the balancer and here, or leaves all as it is.
+// adopt swaps the settings for others, in the balancer and here, or leaves all as it is. Handlers read requests by the settings from
+// the swap on, so all that these requests need is there before it.
 func (l *Loop) adopt(ctx context.Context, next *settings.Settings) error {
 	if err := l.balancer.Adopt(next.Balancer); err != nil {
 		return err
 	}
-	old := l.settings.Swap(next)
 	l.pool.Configure(next)
 	l.metrics.AddClasses(next.ClassNames)
+	old := l.settings.Swap(next)
 	sameNames := slices.Equal(old.ZoneNames, next.ZoneNames) && slices.Equal(old.KindNames, next.KindNames)
 	if sameNames || l.members.Len() == 0 {
 		return nil
--- a/internal/dispatch/adopt_test.go
+++ b/internal/dispatch/adopt_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"example.org/ryeloft/internal/agenttest"
 )
@@ -20,3 +21,37 @@
 		}
 	}
 }
+
+// blockedWriter says that it is written to, and blocks until it is released.
+type blockedWriter struct{ writing, release chan struct{} }
+
+func (w blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case w.writing <- struct{}{}:
+	default:
+	}
+	<-w.release
+	return len(p), nil
+}
+
+// Settings are visible only once the metrics know their classes: a handler that rejects a request of a new class counts it at once.
+func TestClassesAreAddedBeforeSettingsAreVisible(t *testing.T) {
+	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
+	l := newTestLoop(t, &cfg.Settings)
+	next := agenttest.Config(t, "127.0.0.1:1", strings.ReplaceAll(agenttest.Settings, `"safe"`, `"new"`))
+	held := blockedWriter{writing: make(chan struct{}, 1), release: make(chan struct{})}
+	go func() { _ = l.metrics.WriteText(held) }() // holds the metrics, so that adopt waits where it adds the classes
+	agenttest.Receive(t, "write", held.writing)
+	adopted := make(chan error, 1)
+	go func() { adopted <- l.adopt(t.Context(), &next.Settings) }()
+	for begun := time.Now(); time.Since(begun) < 200*time.Millisecond; time.Sleep(time.Millisecond) {
+		if l.Settings() != &cfg.Settings {
+			t.Error("the settings are visible before their classes are known")
+			break
+		}
+	}
+	close(held.release)
+	if err := agenttest.Receive(t, "result", adopted); err != nil || l.Settings() != &next.Settings {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/inbound/handler_test.go
+++ b/internal/inbound/handler_test.go
@@ -28,17 +28,12 @@
 func (d *countingDispatcher) Submit(*dispatch.Request)     { d.calls.Add(1) }
 func (d *countingDispatcher) Abandon(*dispatch.Request)    { d.calls.Add(1) }
 
-// A long body that finds no buffer is rejected and never sent.
-func TestLongBodyWithoutBufferIsRejected(t *testing.T) {
-	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	dispatcher := &countingDispatcher{settings: &cfg.Settings}
-	counters := &metrics.Metrics{}
-	counters.AddClasses(cfg.Settings.ClassNames)
-	none := stream.NewBuffers(0)
-	none.TryGet()
-	none.TryGet()
+// newTestServer starts a server whose dispatcher answers nothing, and returns its address.
+func newTestServer(t *testing.T, dispatcher Dispatcher, counters *metrics.Metrics, buffers *stream.Buffers, maxRequests int) string {
+	t.Helper()
 	s := New(Options{
-		Dispatcher: dispatcher, Metrics: counters, Buffers: none, MaxRequests: 10, Log: agenttest.DiscardLogger, Done: t.Context().Done(),
+		Dispatcher: dispatcher, Metrics: counters, Buffers: buffers, MaxRequests: maxRequests, Log: agenttest.DiscardLogger,
+		Done: t.Context().Done(),
 	})
 	s.Listener().Resize(10, 10)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
@@ -46,8 +41,14 @@
 		t.Fatal(err)
 	}
 	s.Serve(tcp.(*net.TCPListener))
-	defer s.Close()
-	req, err := http.NewRequest(http.MethodPost, "http://"+tcp.Addr().String()+"/unsafe/1", bytes.NewReader(agenttest.Pattern(100_000)))
+	t.Cleanup(s.Close)
+	return tcp.Addr().String()
+}
+
+// post sends a request of the class unsafe.
+func post(t *testing.T, addr string, body []byte) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/unsafe/1", bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,8 +61,33 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// A long body that finds no buffer is rejected and never sent.
+func TestLongBodyWithoutBufferIsRejected(t *testing.T) {
+	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
+	dispatcher := &countingDispatcher{settings: &cfg.Settings}
+	counters := &metrics.Metrics{}
+	counters.AddClasses(cfg.Settings.ClassNames)
+	none := stream.NewBuffers(0)
+	none.TryGet()
+	none.TryGet()
+	addr := newTestServer(t, dispatcher, counters, none, 10)
+	resp := post(t, addr, agenttest.Pattern(100_000))
 	if resp.StatusCode != protocol.StatusRejected || dispatcher.calls.Load() > 0 {
 		t.Errorf("answered %d with %d calls of the dispatcher", resp.StatusCode, dispatcher.calls.Load())
 	}
 }
+
+// A request that is rejected over the agent's own limit has its answer, though the metrics do not know its class yet: a reload
+// makes the settings visible to handlers in that order.
+func TestRequestOfAnUnknownClassIsAnswered(t *testing.T) {
+	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
+	dispatcher := &countingDispatcher{settings: &cfg.Settings}
+	addr := newTestServer(t, dispatcher, &metrics.Metrics{}, stream.NewBuffers(0), 0)
+	if resp := post(t, addr, []byte("body")); resp.StatusCode != protocol.StatusRejected {
+		t.Errorf("answered %d, want %d", resp.StatusCode, protocol.StatusRejected)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -92,14 +92,20 @@
 func (m *Metrics) AddClasses(names []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, name := range names {
+		m.class(name)
+	}
+}
+
+// class returns the counters of a class, which is shown from now on. The mutex is held.
+func (m *Metrics) class(name string) *[resultCount]int {
 	if m.classes == nil {
 		m.classes = map[string]*[resultCount]int{}
 	}
-	for _, name := range names {
-		if m.classes[name] == nil {
-			m.classes[name] = new([resultCount]int)
-		}
+	if m.classes[name] == nil {
+		m.classes[name] = new([resultCount]int)
 	}
+	return m.classes[name]
 }
 
 // RequestOpened counts a request that is complete as active.
@@ -118,12 +124,12 @@
 	m.count(func(i *intervalCounters) { i.overLimit++ })
 }
 
-// RequestAnswered counts a request of a class by the answer that its client gets. The class must have been added.
+// RequestAnswered counts a request of a class by the answer that its client gets. A class that is not known is added.
 func (m *Metrics) RequestAnswered(class string, result Result) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counters.responses[result]++
-	m.classes[class][result]++
+	m.class(class)[result]++
 }
 
 // ClientClosed counts a request whose client closed its connection before the answer.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -66,3 +66,23 @@
 		}
 	}
 }
+
+// A request whose class was not added is counted like others: a counter must not take the request with it.
+func TestRequestOfAnUnknownClassIsCounted(t *testing.T) {
+	var m Metrics
+	for result := range resultCount {
+		m.RequestAnswered("new", result)
+	}
+	var text strings.Builder
+	if err := m.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`gw_responses_total{kind="new",result="ok"} 1`, `gw_responses_total{kind="new",result="shed"} 1`,
+		`gw_responses_total{kind="new",result="errors"} 1`,
+	} {
+		if !strings.Contains(text.String(), want+"\n") {
+			t.Errorf("no line %s in\n%s", want, text.String())
+		}
+	}
+}
