Claim request ids from the process that is being replaced

Two requests that a client sends with one id, one to each process of an agent during a replacement, both ran: each process knew its own ids only.

The older process owns the ids while it lives. Lines about ids are sent only to a process that has said that it knows them. Ids are taken where a request is submitted, under a mutex, by hash.

TestIDIsTakenByOneProcess: 100 requests of 50 ids at the server without the claim, 50 with it.

Tests of the loop take the id as Submit does, so that what they check of ids stays checked.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,6 @@
 	if err != nil {
 		return err
 	}
-	var peers *handover.Handover
 	if cfg.AdminAddr != "" {
 		console, err := admin.Listen(ctx, cfg.AdminAddr, a.commands())
 		if err != nil {
@@ -51,20 +50,19 @@
 		}
 		defer console.Close()
 		go console.Serve() // ends when the console closes
-		peers = handover.Join(handover.SocketPath(cfg.Name), a.quotas, log)
-		defer peers.Close()
+		a.peers = handover.Join(handover.SocketPath(cfg.Name), a.quotas, a.loop.RequestIDs(), log)
+		defer a.peers.Close()
 		// When the handover closes, the peers assume that this process holds no connection any more.
 		defer a.pool.Resize(0)
 	}
 	a.start(work, reloads)
-	return a.serveClients(ctx, work, peers, listening)
+	return a.serveClients(ctx, work, listening)
 }
 
-// serveClients accepts clients until the context ends, and then shuts the agent down. The parts run with the context work;
-// peers is nil if the process has no others.
-func (a *agent) serveClients(ctx, work context.Context, peers *handover.Handover, listening func() (*net.TCPListener, error)) error {
+// serveClients accepts clients until the context ends, and then shuts the agent down. The parts run with the context work.
+func (a *agent) serveClients(ctx, work context.Context, listening func() (*net.TCPListener, error)) error {
 	a.awaitFirstRound(ctx)
-	if peers != nil {
+	if a.peers != nil {
 		a.loop.AwaitEndpoints(ctx)
 	}
 	tcp, err := listening()
@@ -73,8 +71,8 @@
 	}
 	defer a.clients.Close()
 	served := a.clients.Serve(tcp)
-	if peers != nil { // before the console reports ready, on which operators end the other process
-		if err := peers.Announce(); err != nil {
+	if a.peers != nil { // before the console reports ready, on which operators end the other process
+		if err := a.peers.Announce(); err != nil {
 			a.log.Warn("handover socket unavailable", "error", err)
 		}
 	}
@@ -84,7 +82,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	return a.shutDown(work, peers, served)
+	return a.shutDown(work, served)
 }
 
 // awaitFirstRound waits until discovery has been called once. The list that the agent starts from may be so old that changes
@@ -109,6 +107,7 @@
 	discovery *discovery.Client
 	clients   *inbound.Server
 	quotas    *handover.Quotas
+	peers     *handover.Handover // nil if the process has no others
 }
 
 // newAgent makes the parts, none of which runs yet. The context is the one that they will run with.
@@ -120,6 +119,7 @@
 	a.loop, err = dispatch.New(dispatch.Options{
 		Settings: &cfg.Settings, Seed: cfg.Seed, Pool: a.pool, Metrics: a.metrics, Log: log,
 		PublishGauges: cfg.AdminAddr != "", PollEndpoints: func() { a.discovery.Poll() },
+		ClaimID: func(hash uint64) bool { return a.peers.Claim(hash) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/agent/replacement_test.go
+++ b/internal/agent/replacement_test.go
@@ -104,3 +104,64 @@
 		t.Errorf("%d of %d requests failed", failed.Load(), asked.Load())
 	}
 }
+
+// While a process is replaced, a request id is taken by one of the two processes, whichever a client brings it to first, and by none
+// while the other has it.
+func TestIDIsTakenByOneProcess(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	goOn := make(chan struct{})
+	b := agenttest.NewServer(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return agenttest.OKAnswer, false
+	})
+	l := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("x", b.Addr, "Ready", 0)))
+	cfg := agenttest.Config(t, l.Listener.Addr().String(), agenttest.Settings)
+	// Each process has a client address of its own, so that the test chooses between them.
+	olderCfg, newerCfg := *cfg, *cfg
+	olderCfg.Listen, newerCfg.Listen = freeAddr(t), freeAddr(t)
+	startProcess(t, olderCfg)
+	startProcess(t, newerCfg)
+	send := func(addr, id string) <-chan int {
+		status := make(chan int, 1)
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/unsafe/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header = http.Header{protocol.HeaderRequestID: {id}, protocol.HeaderClass: {"unsafe"},
+			protocol.HeaderTenant: {"acme"}, protocol.HeaderBudget: {"15000m"}}
+		go func() {
+			resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: agenttest.Timeout}).Do(req)
+			if err != nil {
+				status <- 0
+				return
+			}
+			resp.Body.Close()
+			status <- resp.StatusCode
+		}()
+		return status
+	}
+	for i, order := range [][2]string{{olderCfg.Listen, newerCfg.Listen}, {newerCfg.Listen, olderCfg.Listen}} {
+		id := fmt.Sprintf("repeated-%d", i)
+		first := send(order[0], id)
+		agenttest.Receive(t, "request", b.Requests)
+		if status := agenttest.Receive(t, "answer to the repeat", send(order[1], id)); status != http.StatusConflict {
+			t.Errorf("%s is taken twice: the repeat is answered %d", id, status)
+		}
+		goOn <- struct{}{}
+		if status := agenttest.Receive(t, "answer", first); status != http.StatusOK {
+			t.Errorf("%s is answered %d", id, status)
+		}
+	}
+	close(goOn)
+	for i := range 50 { // in whatever order
+		id := fmt.Sprintf("at-once-%d", i)
+		older, newer := send(olderCfg.Listen, id), send(newerCfg.Listen, id)
+		one, other := agenttest.Receive(t, "answer", older), agenttest.Receive(t, "answer", newer)
+		if min(one, other) != http.StatusOK || max(one, other) != http.StatusConflict {
+			t.Errorf("%s is answered %d and %d", id, one, other)
+		}
+	}
+	if n := len(b.Requests); n != 50 {
+		t.Errorf("%d requests of 50 ids at the server", n)
+	}
+}
--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"time"
-
-	"example.org/ryeloft/internal/handover"
 )
 
 const (
@@ -26,7 +24,7 @@
 
 // shutDown drains the agent and returns when all open requests are answered, or the platform is about to kill the process.
 // The end of the clients' server comes on served.
-func (a *agent) shutDown(work context.Context, peers *handover.Handover, served <-chan error) error {
+func (a *agent) shutDown(work context.Context, served <-chan error) error {
 	begun := time.Now()
 	lastAnswers := a.killedAfter() - lastAnswerMargin
 	failOpen := time.AfterFunc(lastAnswers, a.clients.FailOpen)
@@ -37,14 +35,14 @@
 	a.clients.StartShutdown(lastAnswers)
 	open, idle := a.clients.Count()
 	a.log.Info("graceful shutdown started", "still_open", open, "without_request", idle)
-	for time.Since(begun) < acceptWhileLeaving && !peers.Leave() {
+	for time.Since(begun) < acceptWhileLeaving && !a.peers.Leave() {
 		select {
 		case err := <-served:
 			return fmt.Errorf("serving: %w", err)
 		case <-time.After(replacedLookInterval):
 		}
 	}
-	if peers.Leave() {
+	if a.peers.Leave() {
 		a.log.Info("clients handed over to another process")
 		a.clients.FinishQueue()
 	} else {
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"example.org/ryeloft/internal/balancer"
 	"example.org/ryeloft/internal/discovery"
@@ -70,13 +69,9 @@
 
 func (in submitted) handle(ctx context.Context, l *Loop) {
 	r := in.request
-	if !l.ids.add(r.ID) {
-		r.answered <- Answer{Status: http.StatusConflict, ContentType: "text/plain", Body: []byte(protocol.HeaderRequestID + " is in use\n")}
-		return
-	}
 	l.metrics.RequestDispatched()
 	if !r.translate(l.settings.Load()) {
-		l.ids.close(r.ID)
+		l.ids.close(r.idHash)
 		r.answered <- Answer{Status: protocol.StatusRejected}
 		return
 	}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -10,6 +10,7 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"example.org/ryeloft/internal/discovery"
 	"example.org/ryeloft/internal/membership"
 	"example.org/ryeloft/internal/metrics"
+	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/settings"
 	"example.org/ryeloft/internal/upstream"
 )
@@ -43,6 +45,8 @@
 	PublishGauges bool
 	// PollEndpoints asks discovery for the list. It must not wait.
 	PollEndpoints func()
+	// ClaimID returns whether the other processes of the agent have not taken the id with a hash; nil if there are none.
+	ClaimID func(hash uint64) bool
 }
 
 // Loop is the event loop. Its exported methods may be called by any goroutine.
@@ -56,6 +60,7 @@
 	metrics       *metrics.Metrics
 	log           *slog.Logger
 	pollEndpoints func()
+	claimID       func(uint64) bool
 	publishGauges bool
 	inputs        chan input
 	done          chan struct{} // closed when Run returns
@@ -63,7 +68,7 @@
 	members   *membership.Table // as of the last list from discovery
 	endpoints map[balancer.ServerID]*upstream.Endpoint
 	requests  map[balancer.RequestID]*openRequest
-	ids       requestIDs
+	ids       *RequestIDs
 	lastID    balancer.RequestID
 	timers    timers
 	wallSteps clock.StepDetector
@@ -79,7 +84,7 @@
 	}
 	l := &Loop{
 		clock: clock.Anchor(), balancer: decisions, pool: o.Pool, metrics: o.Metrics, log: o.Log,
-		pollEndpoints: o.PollEndpoints, publishGauges: o.PublishGauges,
+		pollEndpoints: o.PollEndpoints, claimID: o.ClaimID, publishGauges: o.PublishGauges,
 		inputs:    make(chan input, inputQueue),
 		done:      make(chan struct{}),
 		endpoints: map[balancer.ServerID]*upstream.Endpoint{},
@@ -115,8 +120,31 @@
 	}
 }
 
-// Submit hands a request to the loop, which answers it on its Answered channel.
-func (l *Loop) Submit(r *Request) { l.send(submitted{r}) }
+// Submit hands a request to the loop, which answers it on its Answered channel. One whose id is in use, here or at another process
+// of the agent, is answered at once.
+func (l *Loop) Submit(r *Request) {
+	if !l.takeID(r) {
+		r.answered <- Answer{Status: http.StatusConflict, ContentType: "text/plain", Body: []byte(protocol.HeaderRequestID + " is in use\n")}
+		return
+	}
+	l.send(submitted{r})
+}
+
+// takeID notes the id of a request, and returns whether no other request has it.
+func (l *Loop) takeID(r *Request) bool {
+	r.idHash = hashID(r.ID)
+	if !l.ids.add(r.idHash) {
+		return false
+	}
+	if l.claimID != nil && !l.claimID(r.idHash) {
+		l.ids.close(r.idHash)
+		return false
+	}
+	return true
+}
+
+// RequestIDs returns the ids of the requests that this process has taken.
+func (l *Loop) RequestIDs() *RequestIDs { return l.ids }
 
 // Abandon notifies the loop that nobody waits for a request's answer any more.
 func (l *Loop) Abandon(r *Request) { l.send(abandoned{r}) }
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -42,6 +42,15 @@
 	return r
 }
 
+// take has the loop handle a request as Submit hands it over.
+func take(ctx context.Context, t *testing.T, l *Loop, r *Request) {
+	t.Helper()
+	if !l.takeID(r) {
+		t.Fatalf("the id %q is in use", r.ID)
+	}
+	submitted{r}.handle(ctx, l)
+}
+
 // listed is what discovery tells of a list.
 func listed(update balancer.DiscoveryUpdate, members ...discovery.Member) input {
 	return endpointsNotified{discovery.WatchEvent{Update: update, Members: members}}
@@ -102,7 +111,7 @@
 	ctx := t.Context()
 	listed(balancer.EndpointsReplaced, discovery.Member{ID: "x", Address: "127.0.0.1:1", State: "Ready"}).handle(ctx, l)
 	c := newTestRequest(l, 2, "/")
-	submitted{c}.handle(ctx, l)
+	take(ctx, t, l, c)
 	if len(l.requests) != 1 || l.requests[c.number].inFlight != 1 {
 		t.Fatalf("after the request: %+v", l.requests)
 	}
@@ -131,7 +140,7 @@
 	listed(balancer.EndpointsReplaced, discovery.Member{ID: "x", Address: x.Addr, State: "Ready"},
 		discovery.Member{ID: "y", Address: y.Addr, State: "Ready"}).handle(ctx, l)
 	c := newTestRequest(l, 0, "/keyed/1")
-	submitted{c}.handle(ctx, l)
+	take(ctx, t, l, c)
 	select {
 	case <-x.Requests:
 	case <-y.Requests:
@@ -172,7 +181,7 @@
 					listed(balancer.EndpointsReplaced, discovery.Member{ID: "x", Address: "127.0.0.1:1", State: "Ready"},
 						discovery.Member{ID: "y", Address: "127.0.0.1:1", State: "Ready"}).handle(ctx, l)
 					c := newTestRequest(l, 0, "/keyed/1")
-					submitted{c}.handle(ctx, l)
+					take(ctx, t, l, c)
 					for l.requests[c.number].inFlight < 2 { // the balancer's looks at the attempt without an answer, due or not
 						look := heap.Pop(&l.timers).(timer)
 						l.handle(ctx, balancer.Event{Kind: balancer.EventTimer, TimerID: look.id})
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,6 +27,7 @@
 
 	answered chan Answer // holds one, so that the loop never waits for a handler
 	number   balancer.RequestID
+	idHash   uint64
 	ended    atomic.Bool // answered or abandoned; only the loop sets it
 }
 
@@ -87,6 +88,6 @@
 func (l *Loop) forget(r *openRequest) {
 	if r.ended.Load() && r.inFlight == 0 {
 		delete(l.requests, r.number)
-		l.ids.close(r.ID)
+		l.ids.close(r.idHash)
 	}
 }
--- a/internal/dispatch/requestids_test.go
+++ b/internal/dispatch/requestids_test.go
@@ -9,14 +9,14 @@
 func TestRequestIDsAreForgotten(t *testing.T) {
 	ids := newRequestIDs()
 	for i := range 10 * maxRecentIDs {
-		id := fmt.Sprint(i)
+		id := hashID(fmt.Sprint(i))
 		ids.add(id)
 		ids.close(id)
 	}
 	if n := len(ids.open) + len(ids.recent) + len(ids.older); n > 2*maxRecentIDs {
 		t.Errorf("%d ids are kept", n)
 	}
-	if ids.expire(); !ids.add(fmt.Sprint(8*maxRecentIDs - 1)) {
+	if ids.expire(); !ids.add(hashID(fmt.Sprint(8*maxRecentIDs - 1))) {
 		t.Error("an id is kept for good")
 	}
 }
--- a/internal/handover/fakeconns_test.go
+++ b/internal/handover/fakeconns_test.go
@@ -79,3 +79,58 @@
 	defer f.mu.Unlock()
 	return f.maxConns
 }
+
+// fakeIDs are ids of requests that are never forgotten.
+type fakeIDs struct {
+	mu      sync.Mutex
+	ids     map[uint64]bool // whether it is a claim
+	dropped int
+}
+
+func (f *fakeIDs) Claim(id uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, known := f.ids[id]; known {
+		return false
+	}
+	f.put(id, true)
+	return true
+}
+
+func (f *fakeIDs) put(id uint64, claim bool) {
+	if f.ids == nil {
+		f.ids = map[uint64]bool{}
+	}
+	f.ids[id] = claim
+}
+
+func (f *fakeIDs) DropClaims() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped++
+}
+
+func (f *fakeIDs) Known() []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var known []uint64
+	for id, claim := range f.ids {
+		if !claim {
+			known = append(known, id)
+		}
+	}
+	return known
+}
+
+func (f *fakeIDs) Add(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.put(id, false)
+}
+
+func (f *fakeIDs) has(id uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.ids[id]
+	return known
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -36,6 +36,7 @@
 // Handover is this process's side. The end of a connection is the end of the other process, however that came.
 type Handover struct {
 	path string
+	ids  RequestIDs
 	log  *slog.Logger
 
 	mu       sync.Mutex
@@ -51,6 +52,8 @@
 	newer         bool // it started after this process
 	ready         bool // it accepts clients
 	releasesQuota bool // it has sent a line, be it of no places
+	answersClaims bool // it knows claims of request ids
+	claims        map[uint64]chan bool
 }
 
 // SocketPath is where the processes of one agent meet.
@@ -62,8 +65,8 @@
 
 // Join finds the process that runs already, if there is one. A file that a killed process has left behind is as good as no
 // file, because nobody answers there.
-func Join(path string, quotas *Quotas, log *slog.Logger) *Handover {
-	h := &Handover{path: path, quotas: quotas, log: log, peers: map[net.Conn]*peerProcess{}}
+func Join(path string, quotas *Quotas, ids RequestIDs, log *slog.Logger) *Handover {
+	h := &Handover{path: path, quotas: quotas, ids: ids, log: log, peers: map[net.Conn]*peerProcess{}}
 	if conn, err := net.DialTimeout("unix", path, socketTimeout); err == nil {
 		h.addPeer(conn, false)
 	}
@@ -105,7 +108,10 @@
 	if h.listener != nil {
 		h.listener.Close()
 	}
-	for conn := range h.peers {
+	for conn, p := range h.peers {
+		if p.newer && p.answersClaims {
+			h.sendSeen(conn)
+		}
 		conn.Close()
 	}
 }
@@ -145,7 +151,7 @@
 
 // addPeer takes in another process and starts the goroutines that follow it to its end.
 func (h *Handover) addPeer(conn net.Conn, newer bool) {
-	p := &peerProcess{newer: newer}
+	p := &peerProcess{newer: newer, claims: map[uint64]chan bool{}}
 	h.mu.Lock()
 	h.peers[conn] = p
 	processes := 1 + len(h.peers)
@@ -154,6 +160,7 @@
 		h.releaseTo(conn, p, true) // before all else, by which the other knows that places are released
 	} else {
 		h.quotas.join(processes)
+		send(conn, claimsWord+"\n")
 	}
 	if h.ready && !h.leaving {
 		send(conn, string(readyWord))
@@ -175,6 +182,10 @@
 func (h *Handover) removePeer(conn net.Conn) {
 	conn.Close()
 	h.mu.Lock()
+	h.peers[conn].settleAllClaims()
+	if h.peers[conn].newer {
+		h.ids.DropClaims()
+	}
 	delete(h.peers, conn)
 	processes := 1 + len(h.peers)
 	var err error
@@ -198,7 +209,9 @@
 		case b == readyWord:
 			h.peerReady(conn, p)
 		case b == '\n':
-			h.peerReleased(p, string(line))
+			if !h.receiveClaimLine(conn, p, string(line)) {
+				h.peerReleased(p, string(line))
+			}
 			line = line[:0]
 		case len(line) <= maxLineBytes:
 			line = append(line, b)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -20,7 +20,7 @@
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384} // not the tests' memory
 	one, two := LimitsFor(cfg, 1), LimitsFor(cfg, 2)
 	join := func() *Handover {
-		k := Join(path, quotasFor(cfg), agenttest.DiscardLogger)
+		k := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
 		t.Cleanup(k.Close)
 		return k
 	}
--- a/internal/handover/quota_test.go
+++ b/internal/handover/quota_test.go
@@ -137,7 +137,7 @@
 				t.Fatal(err)
 			}
 			defer l.Close()
-			k := Join(path, quotasFor(cfg), agenttest.DiscardLogger)
+			k := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
 			defer k.Close()
 			other, err := l.Accept()
 			if err != nil {
@@ -179,7 +179,7 @@
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	path := filepath.Join(t.TempDir(), "l")
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384}
-	k := Join(path, quotasFor(cfg), agenttest.DiscardLogger)
+	k := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
 	defer k.Close()
 	if err := k.Announce(); err != nil {
 		t.Fatal(err)
