--- /dev/null
+++ b/internal/repository/architecture_test.go
@@ -0,0 +1,34 @@
+package repository
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+// The page on the architecture names each package, by its path or by that of a folder whose packages it lists.
+func TestArchitectureNamesEachPackage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "architecture.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := exec.CommandContext(t.Context(), "go", "list", "./...")
+	list.Dir = root
+	packages, err := list.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path := range strings.Lines(string(packages)) {
+		path = strings.TrimPrefix(strings.TrimSpace(path), "example.org/ryeloft/")
+		if strings.HasPrefix(path, "internal/scale/") {
+			path = strings.TrimPrefix(path, "internal/scale/")
+		}
+		if !strings.Contains(string(page), "`"+path+"`") {
+			t.Errorf("docs/architecture.md does not name %s", path)
+		}
+	}
+}
