Force the order in which a watch meets two changes in its test

TestWatch/two at once failed at times beside load: "11 false b:Terminating, want 12 false b:Gone c:Ready". Two changes were played one behind the other while a watch waited, and the case held only if the watch was not woken in between. That it may be is allowed: a watch ends with the first change, and its next call brings the rest.

In place of the case: both before the watch looks (in TestWatch); woken between them, order forced, which gives the answer that was seen red each time; woken at any time, where either course is complete. The last also checks that nothing is lost or answered twice, which the former case did not look at.

--- a/internal/lists/server_test.go
+++ b/internal/lists/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -96,8 +97,7 @@
 		{"over a minute", []step{list}, "?after=10&wait_ms=90000", 0, nil, time.Minute, `10 false `},
 		{"far over", []step{list}, "?after=10&wait_ms=18446744073709551615", 0, nil, time.Minute, `10 false `},
 		{"a change", []step{list}, "?after=10&wait_ms=20000", 5 * time.Second, []step{drain}, 5 * time.Second, `11 false b:Terminating`},
-		{"two at once", []step{list}, "?after=10&wait_ms=20000", 5 * time.Second, []step{drain, leave}, 5 * time.Second,
-			`12 false b:Gone c:Ready`},
+		{"two at once, seen after both", []step{list, drain, leave}, "?after=10&wait_ms=20000", 0, nil, 0, `12 false b:Gone c:Ready`},
 		{"a change to nobody", []step{list}, "?after=10&wait_ms=20000", time.Second, []step{{false, 11, ""}}, time.Second, `11 false `},
 		{"behind", []step{list, drain}, "?after=10&wait_ms=20000", 0, nil, 0, `11 false b:Terminating`},
 		{"ahead", []step{list}, "?after=11&wait_ms=20000", 0, nil, 0, `10 true a:Ready b:Ready`},
@@ -137,6 +137,54 @@
 	}
 }
 
+// Of two changes at once a watch brings both, or the first alone if it is woken between them; then the next call brings the other.
+func TestWatchOfTwoChanges(t *testing.T) {
+	const first, second, both = "11 false b:Terminating", "12 false b:Gone c:Ready", "12 false b:Gone c:Ready"
+	for name, c := range map[string]struct {
+		between bool // the watch is woken between the changes
+		want    []string
+	}{
+		"woken between them": {true, []string{first + "|" + second}},
+		"woken at any time":  {false, []string{both, first + "|" + second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{Store: NewStore(8)}
+				step{true, 10, "a:Ready b:Ready"}.play(t, s.Store)
+				answers := make(chan *httptest.ResponseRecorder)
+				watch := func(after uint64) {
+					go func() { answers <- get(s.Handler(0), fmt.Sprintf("?after=%d&wait_ms=20000", after)) }()
+				}
+				watch(10)
+				synctest.Wait()
+				began := time.Now()
+				step{false, 11, "b:Terminating"}.play(t, s.Store)
+				if c.between {
+					synctest.Wait() // the watch has taken its answer
+				}
+				step{false, 12, "b:Gone c:Ready"}.play(t, s.Store)
+				var got []string
+				for revision := uint64(10); revision < 12; {
+					w := <-answers
+					l := parse(t, w.Body.Bytes())
+					got = append(got, fmt.Sprintf("%d %v %s", *l.Revision, l.Complete, words(l.Members)))
+					if w.Code != 200 || time.Since(began) != 0 || *l.Revision <= revision {
+						t.Fatalf("%d after %v: %q", w.Code, time.Since(began), got)
+					}
+					revision = *l.Revision
+					watch(revision)
+				}
+				if !slices.Contains(c.want, strings.Join(got, "|")) {
+					t.Errorf("%q, want one of %q", got, c.want)
+				}
+				if w := <-answers; w.Code != 200 || time.Since(began) != 20*time.Second {
+					t.Errorf("without a change: %d after %v", w.Code, time.Since(began))
+				}
+			})
+		})
+	}
+}
+
 // A watch whose caller goes away ends, and another may be made.
 func TestCallerGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
