--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -2,8 +2,9 @@
 //
 // Clients' handlers, attempts, health checks and discovery send the loop inputs; it turns each into an event of the
 // balancer and carries out the actions that the balancer answers. It alone decides how a request ends. All state of the
-// Loop is its goroutine's but for the settings and two flags, which are atomic; requests are shared as Request says. The
-// loop itself waits for no connection: attempts and health checks have goroutines of their own.
+// Loop is its goroutine's but for the settings and two flags, which are atomic, and the ids of requests, which have a mutex
+// of their own; requests are shared as Request says. The loop itself waits for no connection: attempts and health checks
+// have goroutines of their own.
 package dispatch
 
 import (
