--- a/internal/repository/architecture_test.go
+++ b/internal/repository/architecture_test.go
@@ -24,9 +24,7 @@
 	}
 	for path := range strings.Lines(string(packages)) {
 		path = strings.TrimPrefix(strings.TrimSpace(path), "example.org/ryeloft/")
-		if strings.HasPrefix(path, "internal/scale/") {
-			path = strings.TrimPrefix(path, "internal/scale/")
-		}
+		path = strings.TrimPrefix(path, "internal/scale/")
 		if !strings.Contains(string(page), "`"+path+"`") {
 			t.Errorf("docs/architecture.md does not name %s", path)
 		}
