--- a/cmd/agent/main_test.go
+++ b/cmd/agent/main_test.go
@@ -178,7 +178,8 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	awaitWatch(t, polls) // so it listens
+	awaitWatch(t, polls)
+	awaitUp(t, listen) // it listens once its first call is answered
 	unused, err := net.Dial("tcp", listen)
 	if err != nil {
 		t.Fatal(err)
