Wait until the relay serves a list before its test asks for it

Its test takes the log line "endpoint list updated" for the list; the client of discovery logs that line and then notifies the relay (deliver, internal/discovery/watch.go), so a test that is quick enough asks in between.

--- a/cmd/relay/main_test.go
+++ b/cmd/relay/main_test.go
@@ -283,6 +283,18 @@
 	}
 }
 
+// awaitRevision waits until the relay serves a revision.
+func (p *program) awaitRevision(t *testing.T, revision int) {
+	t.Helper()
+	want := fmt.Sprintf("relay_revision %d\n", revision)
+	for begun := time.Now(); time.Since(begun) < wait; time.Sleep(time.Millisecond) {
+		if _, text := get(p.metrics, "/"); strings.Contains(text, want) {
+			return
+		}
+	}
+	t.Fatalf("never serves revision %d", revision)
+}
+
 // SIGHUP loads another address and rate, or nothing of a file that is not valid; SIGTERM rejects calls that wait at once.
 func TestSignals(t *testing.T) {
 	s, other := newService(t, 7, member("x", "Ready")), newService(t, 9, member("y", "Ready"))
@@ -297,6 +309,7 @@
 	p.configure(t, other.addr, 500)
 	p.Process.Signal(syscall.SIGHUP)
 	p.awaitLog(t, `msg="endpoint list updated"`)
+	p.awaitRevision(t, 9) // the line is logged just before the list is served
 	if _, text := get(p.addr, "/discovery/hosts"); !strings.Contains(text, `"revision":9`) {
 		t.Errorf("after a migration: %s", text)
 	}
