Add failing tests for agents that a crowded discovery never answers after an outage

In the incident's log the failed polls take 31 or 332 ms: 332 is the hedge's 300 ms and one rejection.

None is late where hedges are left out, or where a rejection ends its own call only, so the failure needs both.

--- /dev/null
+++ b/internal/discovery/crowded_test.go
@@ -0,0 +1,87 @@
+package discovery_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// crowdedOutage is an outage that ends with a service that is slower than before it. Rejections come at once, as they did in
+// incident-6221, and one ends its agent's other calls.
+type crowdedOutage struct {
+	agents int
+	cost   time.Duration // of a call after the outage
+	outage time.Duration
+	change time.Duration // from the end of the outage to the change
+}
+
+func (c crowdedOutage) String() string {
+	return fmt.Sprintf("%d agents/%v a call/%v down/changed after %v", c.agents, c.cost, c.outage, c.change)
+}
+
+// lateness plays a fleet and returns when each agent receives the change after that counts as notified.
+func (c crowdedOutage) lateness(t *testing.T, seed uint64) (by []time.Duration) {
+	const (
+		idleCost      = time.Millisecond
+		rejectionTime = 30 * time.Millisecond
+	)
+	s := newService(idleCost)
+	s.rejectsEarly = true
+	s.keepsWatches = true
+	s.failsTogether = true
+	s.rejectionTime = rejectionTime
+	text := testSettingsWith(pollMode, `"mustAskIn":10000,"drainGrace":300,`)
+	list := listText(1, true, memberText("x", "10.0.0.1:80", "Ready", 1))
+	fleet := startFleet(t, c.agents, text, map[string]*service{"old": s}, list, seed)
+	time.Sleep(10 * time.Second)
+	s.rejectFor(c.outage)
+	s.breakCalls(false)
+	time.Sleep(c.outage)
+	s.setCost(c.cost)
+	time.Sleep(c.change)
+	s.change()
+	notified := time.Now().Add(notifiesIn)
+	time.Sleep(notifiesIn + 20*time.Second)
+	return latenessOf(fleet, notified)
+}
+
+// Agents whose bound is over when an outage ends are answered by a service that has become slow and rejects those calls at once that would
+// wait for too long: a poll that it has taken is not ended by the agent's own hedge. In incident-6221 four agents of some thirty heard
+// nothing for 19 s.
+func TestAgentsOverTheirBoundAreAnsweredByACrowdedService(t *testing.T) {
+	const ms = time.Millisecond
+	seeds := uint64(20)
+	if testing.Short() {
+		seeds = 4
+	}
+	for _, c := range []crowdedOutage{
+		{agents: 6, cost: 300 * ms, outage: 7 * time.Second},
+		{agents: 6, cost: 500 * ms, outage: 7 * time.Second},
+		{agents: 30, cost: 100 * ms, outage: 7 * time.Second},
+		{agents: 60, cost: 50 * ms, outage: 7 * time.Second},
+		{agents: 30, cost: 100 * ms, outage: 30 * time.Second},
+		{agents: 32, cost: 200 * ms, outage: 7 * time.Second, change: 6400 * ms}, // one round of the service later
+		{agents: 44, cost: 200 * ms, outage: 7 * time.Second, change: 8800 * ms},
+	} {
+		if testing.Short() && c.agents > raceFleet {
+			continue
+		}
+		t.Run(c.String(), func(t *testing.T) {
+			late, worst := 0, time.Duration(0)
+			for seed := range seeds {
+				synctest.Test(t, func(t *testing.T) {
+					for _, by := range c.lateness(t, seed) {
+						if by > drainGrace {
+							late++
+							worst = max(worst, by)
+						}
+					}
+				})
+			}
+			if late > 0 {
+				t.Errorf("%d of %d agents receive the change too late, up to %v after it counted as notified", late, c.agents*int(seeds), worst)
+			}
+		})
+	}
+}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -44,6 +44,9 @@
 	silent         bool          // those that break hang
 	chargesWatches bool          // a watch behind a poll of the full list costs a call of its own
 	rejectsEarly   bool          // rejected calls cost nothing, and those that would take too long are rejected as they come
+	keepsWatches   bool          // a watch that continues is not rejected
+	failsTogether  bool          // a rejected call ends its caller's other calls, which are rejected with it
+	rejectionTime  time.Duration // from a call's begin to its rejection
 }
 
 func newService(cost time.Duration) *service {
@@ -81,6 +84,12 @@
 	s.mu.Unlock()
 }
 
+func (s *service) setCost(cost time.Duration) {
+	s.mu.Lock()
+	s.cost = cost
+	s.mu.Unlock()
+}
+
 // rejectFor answers calls with 503 for a while.
 func (s *service) rejectFor(span time.Duration) {
 	s.mu.Lock()
@@ -117,6 +126,9 @@
 	if s.rejectsEarly && s.queue.End(s.cost).Sub(now) > maxServiceWait {
 		a.rejected = true
 	}
+	if s.keepsWatches && continues {
+		a.rejected = false
+	}
 	free := continues || s.down || s.rejectsEarly && a.rejected
 	if !free {
 		s.worked++
@@ -129,9 +141,10 @@
 type caller struct {
 	mu         sync.Mutex
 	services   map[string]*service
-	spoilsNext bool      // the next answer that brings a change breaks off
-	answered   time.Time // the last call
-	full       bool      // it was for the full list
+	spoilsNext bool          // the next answer that brings a change breaks off
+	answered   time.Time     // the last call
+	full       bool          // it was for the full list
+	rejected   chan struct{} // closed when the next call is rejected; nil until a call waits for that
 }
 
 // continues says whether a call continues a watch, which costs the service nothing.
@@ -150,6 +163,34 @@
 	c.mu.Unlock()
 }
 
+// awaitRejected returns a channel that is closed when a call of the caller is rejected.
+func (c *caller) awaitRejected() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rejected == nil {
+		c.rejected = make(chan struct{})
+	}
+	return c.rejected
+}
+
+// reject rejects a call, and the caller's others with it where the service does so.
+func (c *caller) reject(ctx context.Context, s *service) (*http.Response, error) {
+	if s.rejectionTime > 0 {
+		select {
+		case <-time.After(s.rejectionTime):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.failsTogether && c.rejected != nil {
+		close(c.rejected)
+		c.rejected = nil
+	}
+	return unavailable(), nil
+}
+
 func unavailable() *http.Response {
 	return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}
 }
@@ -174,12 +215,14 @@
 	case a.down:
 		return nil, errors.New("connection refused")
 	case a.rejected:
-		return unavailable(), nil
+		return c.reject(r.Context(), s)
 	}
 	end := now.Add(max(wait, time.Until(a.done)))
 	if a.done.After(now) {
 		select {
 		case <-discoverytest.After(time.Until(a.done)):
+		case <-c.awaitRejected():
+			return unavailable(), nil
 		case <-r.Context().Done():
 			return nil, r.Context().Err()
 		}
