Log whether a poll was hedged, and count rejected polls and those that a hedge ended

The incident's log could not tell a poll that was rejected late from one that its rejected hedge had ended: both are a 503 after 332 ms, and only every failure that doubles the number is logged. The counters say it for each interval now.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -68,7 +68,7 @@
 	route    *route
 	revision *uint64 // of the list that changes follow; nil when the full list is wanted
 
-	lastCall       callTiming
+	lastCall       callRecord
 	rejectedAtOnce bool // the last call that failed was, without work for it
 	failures       int  // in a row, each of them of all addresses that were to be tried
 	overload       overload
@@ -248,7 +248,7 @@
 		return
 	}
 	c.log.Warn("discovery poll failed", "from", c.route.addr(), "failures", c.failures, "error", err,
-		"since_previous", c.lastCall.sincePrevious, "duration", c.lastCall.duration(), "remaining", remaining)
+		"since_previous", c.lastCall.sincePrevious, "duration", c.lastCall.duration(), "hedged", c.lastCall.hedged, "remaining", remaining)
 }
 
 // alreadyNotified is a remaining time that is over; 0 would say that it is not known.
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -34,7 +34,10 @@
 
 // PollResult is one poll or watch, as it is counted.
 type PollResult struct {
-	Wait     time.Duration // how long it was to wait for changes; 0 for a poll
-	Duration time.Duration // all in all
-	Err      error         // why it brought no list that can be read
+	Wait         time.Duration // how long it was to wait for changes; 0 for a poll
+	Duration     time.Duration // all in all
+	Err          error         // why it brought no list that can be read
+	Rejected     bool          // Err is a rejection
+	Hedged       bool
+	EndedByHedge bool // the hedge was rejected, and so was the first call
 }
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -37,6 +37,7 @@
 	// Nothing waits for calls that are still open at the end: their context has ended, and there is room for their results.
 	results := make(chan callResult, maxParallelCalls)
 	open := 0
+	rejected := 0
 	start := func() {
 		open++
 		request := c.newRequest(0)
@@ -57,10 +58,17 @@
 		select {
 		case result := <-results:
 			open--
+			if isRejection(result.err) {
+				rejected++
+			}
+			if open == 0 {
+				c.lastCall.endedByHedge = rejected == maxParallelCalls
+			}
 			if open == 0 || endsPoll(result.err) {
 				return result.list, result.err
 			}
 		case <-hedge:
+			c.lastCall.hedged = true
 			start()
 		case <-migrated:
 			migrated = nil
@@ -75,17 +83,3 @@
 func endsPoll(err error) bool {
 	return err == nil || errors.Is(err, ErrMalformedList) || errors.Is(err, ErrTruncatedList)
 }
-
-// hedgeDelay is how long a poll waits for its first call before it hedges it: half of the remaining time, but half of a round at
-// least. It returns false if it is not hedged: relays are called one after the other, pushed lists cost the service nothing, so that
-// the poll is repeated instead, and after a timeout the service is more likely to be slow than to lose calls.
-func (c *Client) hedgeDelay() (delay time.Duration, ok bool) {
-	if c.route.relayed() || !c.pollMode() || c.overload.timeouts > 0 {
-		return 0, false
-	}
-	longest := pollTimeout / 2
-	if c.deadline.pending() {
-		longest = min(longest, c.deadline.remaining()/2)
-	}
-	return max(minHedgeDelay, longest, c.latency.round(c.agents())/2), true
-}
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -39,23 +39,33 @@
 	relayDialTimeout  = balancer.NotifyBoundAfterFailure / 20
 )
 
-// rejectedError is an answer that asks for the call to be repeated later.
+// rejectedError is an answer that brings no list and says that the call may be repeated.
 type rejectedError struct {
 	status     string
-	retryAfter time.Duration
+	retryAfter time.Duration // 0: not stated
 }
 
 func (e rejectedError) Error() string {
+	if e.retryAfter == 0 {
+		return fmt.Sprintf("endpoint list: status %s", e.status)
+	}
 	return fmt.Sprintf("endpoint list: status %s, retry after %v", e.status, e.retryAfter)
 }
 
+// isRejection says whether a call was rejected.
+func isRejection(err error) bool {
+	var rejected rejectedError
+	return errors.As(err, &rejected)
+}
+
 // statusError is the error of an answer that brings no list.
-func statusError(resp *http.Response) error {
+func statusError(resp *http.Response) rejectedError {
+	rejected := rejectedError{status: resp.Status}
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0 && seconds < balancer.NotifyBoundAfterFailure.Seconds()) {
-		return fmt.Errorf("endpoint list: status %s", resp.Status)
+	if err == nil && seconds > 0 && seconds < balancer.NotifyBoundAfterFailure.Seconds() {
+		rejected.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	return rejectedError{status: resp.Status, retryAfter: time.Duration(seconds * float64(time.Second))}
+	return rejected
 }
 
 // relayedKey marks the context of a call to a relay.
--- a/internal/discovery/route.go
+++ b/internal/discovery/route.go
@@ -182,7 +182,8 @@
 	}
 	current := &r.hops[r.current]
 	var rejected rejectedError
-	if r.relayed() && errors.As(err, &rejected) && !current.retried && rejected.retryAfter <= c.deadline.remaining() {
+	saysWhen := errors.As(err, &rejected) && rejected.retryAfter > 0
+	if r.relayed() && saysWhen && !current.retried && rejected.retryAfter <= c.deadline.remaining() {
 		current.retried = true
 		return sleep(ctx, rejected.retryAfter)
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -22,23 +22,27 @@
 	watchGrace = balancer.NotifyBoundAfterFailure / 15
 )
 
-// callTiming is when the last call ran.
-type callTiming struct {
+// callRecord is how the last poll or watch ran.
+type callRecord struct {
 	began         time.Time
 	ended         time.Time
 	sincePrevious time.Duration // from the end of the call before it to its begin; 0 for the first
+	hedged        bool
+	endedByHedge  bool // the hedge was rejected, and so was the first call
 }
 
-func (t *callTiming) begin(now time.Time) {
+func (t *callRecord) begin(now time.Time) {
 	t.began = now
+	t.hedged = false
+	t.endedByHedge = false
 	if !t.ended.IsZero() {
 		t.sincePrevious = now.Sub(t.ended)
 	}
 }
 
-func (t *callTiming) end(now time.Time) { t.ended = now }
+func (t *callRecord) end(now time.Time) { t.ended = now }
 
-func (t *callTiming) duration() time.Duration { return t.ended.Sub(t.began) }
+func (t *callRecord) duration() time.Duration { return t.ended.Sub(t.began) }
 
 // watch polls the list and then watches it, each call right after the last, until one fails. The first call does not wait, so
 // that it shows at once whether it is answered.
@@ -85,7 +89,10 @@
 	c.lastCall.begin(time.Now())
 	list, err := c.pollOrWatch(ctx, targetCtx, wait)
 	c.lastCall.end(time.Now())
-	c.onPoll(PollResult{Wait: wait, Duration: time.Since(c.lastCall.began), Err: err})
+	c.onPoll(PollResult{
+		Wait: wait, Duration: time.Since(c.lastCall.began), Err: err, Rejected: isRejection(err),
+		Hedged: c.lastCall.hedged, EndedByHedge: c.lastCall.endedByHedge,
+	})
 	if err != nil {
 		return EndpointList{}, err
 	}
@@ -110,7 +117,7 @@
 func (c *Client) deliver(list EndpointList, first bool) {
 	if first { // until now the agent used an older list
 		c.log.Info("endpoint list updated", "from", c.route.addr(), "revision", *list.Revision, "complete", list.Complete,
-			"members", len(list.Members), "duration", time.Since(c.lastCall.began), "since_start", time.Since(c.startedAt))
+			"members", len(list.Members), "failures", c.failures, "duration", time.Since(c.lastCall.began), "since_start", time.Since(c.startedAt))
 	}
 	switch {
 	case list.Complete:
--- a/internal/metrics/log.go
+++ b/internal/metrics/log.go
@@ -22,7 +22,8 @@
 		"errors", responses(ResultErrors), "client_closed", since.clientsClosed, "attempts", now.attempts-before.attempts,
 		"slowest_loop", since.slowestLoop, slog.Group("endpoints", "ready", ready, "draining", draining))
 	if since.polls > 0 {
-		log.Info("discovery polls", "polls", since.polls, "failed", since.pollErrors, "slowest", since.slowestPoll)
+		log.Info("discovery polls", "polls", since.polls, "failed", since.pollErrors, "rejected", since.pollRejections, "slowest", since.slowestPoll,
+			slog.Group("hedges", "sent", since.pollHedges, "ended_poll", since.pollsEndedByHedge))
 	}
 	since.logAttempts(log)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,6 +77,9 @@
 	incompleteHeads   int // connections that ended within a request's head
 	polls             int
 	pollErrors        int
+	pollRejections    int // of the errors
+	pollHedges        int
+	pollsEndedByHedge int
 	slowestPoll       time.Duration // beyond the time that the poll was allowed to wait
 	slowestLoop       time.Duration
 }
@@ -214,6 +217,15 @@
 		if p.Err != nil {
 			i.pollErrors++
 		}
+		if p.Rejected {
+			i.pollRejections++
+		}
+		if p.Hedged {
+			i.pollHedges++
+		}
+		if p.EndedByHedge {
+			i.pollsEndedByHedge++
+		}
 		i.slowestPoll = max(i.slowestPoll, p.Duration-p.Wait)
 	})
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -15,9 +15,13 @@
 	m.PollEnded(discovery.PollResult{Wait: 3 * time.Second, Duration: 3200 * time.Millisecond})
 	m.PollEnded(discovery.PollResult{Duration: 500 * time.Millisecond, Err: discovery.ErrTruncatedList})
 	m.PollEnded(discovery.PollResult{Wait: 2 * time.Second, Duration: time.Millisecond})
-	if m.interval.polls != 3 || m.interval.pollErrors != 1 || m.interval.slowestPoll != 500*time.Millisecond {
+	m.PollEnded(discovery.PollResult{Err: discovery.ErrMalformedList, Rejected: true, Hedged: true, EndedByHedge: true})
+	if m.interval.polls != 4 || m.interval.pollErrors != 2 || m.interval.slowestPoll != 500*time.Millisecond {
 		t.Errorf("%d calls, %d failed, the slowest %v", m.interval.polls, m.interval.pollErrors, m.interval.slowestPoll)
 	}
+	if m.interval.pollRejections != 1 || m.interval.pollHedges != 1 || m.interval.pollsEndedByHedge != 1 {
+		t.Errorf("%d rejected, %d hedged, %d ended by it", m.interval.pollRejections, m.interval.pollHedges, m.interval.pollsEndedByHedge)
+	}
 }
 
 // inFarZone writes the time as in a zone whose offset takes the most letters.
@@ -41,7 +45,7 @@
 		const many = 1_000_000
 		for _, counter := range []*int{
 			&i.requests, &i.clientsClosed, &i.overLimit, &i.dialed, &i.reused, &i.reusedBroken, &i.badRequests,
-			&i.polls, &i.pollErrors, &i.healthChecks, &i.healthCheckErrors, &i.loadReports, &i.incompleteHeads,
+			&i.polls, &i.pollErrors, &i.pollRejections, &i.pollHedges, &i.pollsEndedByHedge, &i.healthChecks, &i.healthCheckErrors, &i.loadReports, &i.incompleteHeads,
 		} {
 			*counter = many
 		}
