Do not hedge a poll that may be waiting for its turn at a crowded discovery

Cause: once an agent's bound was over, and the service had been quick when it was idle, hedgeDelay was 0.3 s. A crowded service rejects most calls as they come and lets the others wait for up to 1 s. The hedge of a poll that waited was rejected, and the service ended the poll with it, but did its work all the same. So each agent that was over its bound ended nearly each poll that was taken from it, and kept the service busy for nobody.

Evidence: each call logged on a copy: in seven of seven hedged polls whose hedge was rejected the first call ended in the same millisecond, with gaps of 0.4 and 0.9 s in the answers behind them, which else came each 0.2 s.

Change: after a rejection a poll is hedged after half of its timeout (1.5 s), longer than a call that was taken waits there; after a poll whose hedge and first call were both rejected none is hedged until an answer comes. A call that is lost where nothing was rejected is hedged as before.

--- a/cmd/agent/crowded_test.go
+++ b/cmd/agent/crowded_test.go
@@ -16,7 +16,7 @@
 
 // crowdedCalls is a discovery service that can be down, and work slowly once it is back. It works through calls one after the other and
 // rejects those that would take longer than maxServiceWait. A rejection ends the agent's other calls that wait for their turn, as the
-// operators' service does (herd+throng+brink, seed 1: seven of seven).
+// operators' service does (trial f50a0546: seven of seven).
 type crowdedCalls struct {
 	queue discoverytest.Queue
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -72,6 +72,7 @@
 	rejectedAtOnce bool // the last call that failed was, without work for it
 	failures       int  // in a row, each of them of all addresses that were to be tried
 	overload       overload
+	crowding       crowding
 	latency        latencyEstimate
 	deadline       notifyDeadline
 	firstRoundOver bool
--- a/internal/discovery/poll_test.go
+++ b/internal/discovery/poll_test.go
@@ -29,18 +29,20 @@
 const never = time.Hour
 
 // A poll hedges a call that is not answered, once, and only in poll mode and if none timed out before; the first answer counts, and one
-// that cannot be used ends the poll at once.
+// that cannot be used ends the poll at once. At a crowded service it is hedged late, and not at all after a hedge that ended a poll.
 func TestInquiry(t *testing.T) {
 	const first, second = `{"revision":4,"complete":true,"members":[]}`, `{"revision":5,"complete":true,"members":[]}`
 	for name, c := range map[string]struct {
 		pushed   bool
 		timeouts int
+		crowding crowding
 		left     time.Duration // until what was missed counts as notified; 0: nothing was missed
 		answer   time.Duration // that the service takes for a call; 0: not known
 		calls    []scriptedCall
 		took     time.Duration
 		want     uint64 // revision; 0: none
 		made     int    // calls
+		ended    bool   // by the hedge
 	}{
 		"answered":                    {calls: []scriptedCall{{after: time.Second, text: first}}, took: time.Second, want: 4, made: 1},
 		"slow":                        {calls: []scriptedCall{{after: 2 * time.Second, text: first}, {after: never}}, took: 2 * time.Second, want: 4, made: 2},
@@ -53,6 +55,10 @@
 		"the hedge rejected":          {calls: []scriptedCall{{after: 2 * time.Second, text: first}, {after: 0, err: errReset}}, took: 2 * time.Second, want: 4, made: 2},
 		"unusable, the hedge open":    {calls: []scriptedCall{{after: 2 * time.Second, text: "no list"}, {after: never}}, took: 2 * time.Second, made: 2},
 		"after a timeout":             {timeouts: 1, calls: []scriptedCall{{after: never}}, took: 3 * time.Second, made: 1},
+		"after a rejection":           {crowding: crowding{rejections: 1}, left: time.Millisecond, answer: time.Millisecond, calls: []scriptedCall{{after: 1400 * time.Millisecond, text: first}}, took: 1400 * time.Millisecond, want: 4, made: 1},
+		"lost after a rejection":      {crowding: crowding{rejections: 1}, left: time.Millisecond, answer: time.Millisecond, calls: []scriptedCall{{after: never}, {after: time.Second, text: second}}, took: 2500 * time.Millisecond, want: 5, made: 2},
+		"both rejected":               {calls: []scriptedCall{{after: 1600 * time.Millisecond, err: rejectedError{}}, {after: 100 * time.Millisecond, err: rejectedError{}}}, took: 1600 * time.Millisecond, made: 2, ended: true},
+		"after a hedge ended a poll":  {crowding: crowding{rejections: 1, endedPoll: true}, calls: []scriptedCall{{after: 2900 * time.Millisecond, text: first}}, took: 2900 * time.Millisecond, want: 4, made: 1},
 		"pushed":                      {pushed: true, calls: []scriptedCall{{after: never}}, took: time.Second, made: 1},
 		"pushed, after a timeout":     {pushed: true, timeouts: 1, calls: []scriptedCall{{after: 1500 * time.Millisecond, text: first}}, took: 1500 * time.Millisecond, want: 4, made: 1},
 		"pushed, after many timeouts": {pushed: true, timeouts: 9, calls: []scriptedCall{{after: never}}, took: 3 * time.Second, made: 1},
@@ -62,6 +68,7 @@
 				set := &settings.Settings{Balancer: balancer.Settings{Agents: 3, PollEndpoints: !c.pushed}}
 				d := New(Options{Addr: "x:1", Settings: func() *settings.Settings { return set }, Log: slog.New(slog.DiscardHandler)})
 				d.overload.timeouts = c.timeouts
+				d.crowding = c.crowding
 				if c.left > 0 {
 					d.deadline.missed(time.Now().Add(c.left))
 				}
@@ -102,6 +109,9 @@
 				if (err == nil) != (c.want > 0) || err == nil && *l.Revision != c.want {
 					t.Errorf("%+v, error %v, want revision %d", l, err, c.want)
 				}
+				if d.lastCall.endedByHedge != c.ended {
+					t.Errorf("ended by its hedge: %v, want %v", d.lastCall.endedByHedge, c.ended)
+				}
 				synctest.Wait() // calls that are still open end with the poll
 			})
 		})
--- a/internal/discovery/reloads_test.go
+++ b/internal/discovery/reloads_test.go
@@ -54,6 +54,8 @@
 				synctest.Test(t, func(t *testing.T) {
 					s := newService(c.cost)
 					s.rejectsEarly = c.early
+					s.failsTogether = true
+					s.rejectionTime = 30 * time.Millisecond
 					s.chargesWatches = c.paid
 					for _, by := range latenessAfterReloads(t, s, uint64(seed), c.rejects) {
 						if by > drainGrace {
@@ -125,6 +127,8 @@
 					synctest.Test(t, func(t *testing.T) {
 						s := newService(cost)
 						s.rejectsEarly = true
+						s.failsTogether = true
+						s.rejectionTime = 30 * time.Millisecond
 						s.chargesWatches = true
 						const span = 12 * time.Second
 						for i, by := range latenessInSeries(t, s, seed, gap, span) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -133,6 +133,7 @@
 	c.failures = 0
 	c.deadline.synced()
 	c.overload.reset()
+	c.crowding.reset()
 	c.latency.clearTimeouts()
 	if wait == 0 && !c.route.relayed() {
 		c.latency.recordAnswer(time.Since(c.lastCall.began))
@@ -152,7 +153,7 @@
 	c.rejectedAtOnce = wait == 0 && took < min(minTimeout, c.latency.latency)
 	relayed := c.route.relayed()
 	if !relayed {
-		c.recordDiscoveryFailure(wait, took)
+		c.recordDiscoveryFailure(wait, took, err)
 	}
 	syncedUntil := c.lastCall.began
 	if wait > 0 && !errors.Is(err, ErrTruncatedList) {
@@ -165,7 +166,10 @@
 }
 
 // recordDiscoveryFailure notes what the failure of a call tells of discovery itself.
-func (c *Client) recordDiscoveryFailure(wait, took time.Duration) {
+func (c *Client) recordDiscoveryFailure(wait, took time.Duration, err error) {
+	if isRejection(err) {
+		c.crowding.recordRejection(c.lastCall.endedByHedge)
+	}
 	if wait == 0 && took >= minTimeout {
 		c.latency.recordTimeout(took)
 		c.overload.recordTimeout(c.lastCall.began)
