Add a failing test for agents that wait too long behind a service that never answered

A poll that hangs lasts 3 s, 4.5 s if it is hedged, and the wait behind it up to 4.5 s, so up to 9 s pass in which no call can succeed; 6 s are allowed.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +34,8 @@
 	mu             sync.Mutex
 	cost           time.Duration // of a call
 	down           bool
+	unreachable    bool       // connections do not come up
+	hangs          bool       // calls are taken and never answered
 	rejectsLate    bool       // calls while it is down are rejected after maxServiceWait, as those that timed out in the queue
 	rejectsUntil   time.Time  // calls until then,
 	rejectEvery    int        // all, or each so many-th
@@ -84,6 +88,14 @@
 	s.mu.Unlock()
 }
 
+// setSilent has calls swallowed from now on, or no more: they hang, or no connection comes up for them.
+func (s *service) setSilent(silent, hangs bool) {
+	s.mu.Lock()
+	s.unreachable = silent && !hangs
+	s.hangs = silent && hangs
+	s.mu.Unlock()
+}
+
 func (s *service) setCost(cost time.Duration) {
 	s.mu.Lock()
 	s.cost = cost
@@ -107,10 +119,11 @@
 
 // admission is what a service makes of a call as it comes.
 type admission struct {
-	down, rejectsLate bool
-	rejected          bool
-	done              time.Time     // when its work on the call is done
-	broken            chan struct{} // closed when the call breaks
+	unreachable, hangs bool
+	down, rejectsLate  bool
+	rejected           bool
+	done               time.Time     // when its work on the call is done
+	broken             chan struct{} // closed when the call breaks
 }
 
 func (s *service) admit(continues bool) admission {
@@ -118,7 +131,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	a := admission{down: s.down, rejectsLate: s.rejectsLate, done: now, broken: s.broken}
+	a := admission{unreachable: s.unreachable, hangs: s.hangs, down: s.down, rejectsLate: s.rejectsLate, done: now, broken: s.broken}
 	a.rejected = now.Before(s.rejectsUntil) && s.calls%s.rejectEvery == 0
 	if !a.rejected && s.rejections != nil {
 		a.rejected = s.rejections.IntN(4) == 0
@@ -129,7 +142,7 @@
 	if s.keepsWatches && continues {
 		a.rejected = false
 	}
-	free := continues || s.down || s.rejectsEarly && a.rejected
+	free := continues || s.down || s.unreachable || s.hangs || s.rejectsEarly && a.rejected
 	if !free {
 		s.worked++
 		_, a.done = s.queue.Reserve(s.cost)
@@ -163,6 +176,19 @@
 	c.mu.Unlock()
 }
 
+// dialTimeout is how long a dial of the agent's takes that nobody answers.
+const dialTimeout = time.Second
+
+// failDial is a dial that nobody answers.
+func failDial(ctx context.Context) error {
+	select {
+	case <-time.After(dialTimeout):
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // awaitRejected returns a channel that is closed when a call of the caller is rejected.
 func (c *caller) awaitRejected() <-chan struct{} {
 	c.mu.Lock()
@@ -205,6 +231,11 @@
 	c.setFull(r.URL.RawQuery == "")
 	a := s.admit(continues)
 	switch {
+	case a.unreachable:
+		return nil, failDial(r.Context())
+	case a.hangs:
+		<-r.Context().Done()
+		return nil, r.Context().Err()
 	case a.down && a.rejectsLate:
 		select {
 		case <-time.After(maxServiceWait):
