--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"example.org/ryeloft/internal/balancer"
+	"example.org/ryeloft/internal/discovery"
 )
 
 // silence is a time in which the way to discovery swallows what is sent.
@@ -104,3 +107,35 @@
 		})
 	}
 }
+
+// After a migration away from a service that has just begun to hang each agent hears from the new one within the bound of the migration,
+// which counts from the reload and not from the end of the poll that is still out.
+func TestMigrationFromAServiceThatHangs(t *testing.T) {
+	const seeds = 10
+	text := testSettingsWith(pollMode, `"mustAskIn":10000,"drainGrace":300,`)
+	list := listText(1, true, memberText("x", "10.0.0.1:80", "Ready", 1))
+	for _, agents := range []int{1, 6, 60} {
+		if testing.Short() && agents > raceFleet {
+			continue
+		}
+		for _, silent := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%d agents/%v", agents, silent), func(t *testing.T) {
+				expectInTime(t, seeds, func(t *testing.T, seed uint64) []time.Duration {
+					old, next := newService(time.Millisecond), newService(min(300*time.Millisecond, 2*time.Second/time.Duration(agents)))
+					next.change()
+					fleet := startFleet(t, agents, text, map[string]*service{"old": old, "new": next}, list, seed)
+					time.Sleep(10 * time.Second)
+					old.setSilent(true, true)
+					old.breakCalls(false)
+					time.Sleep(silent)
+					notified := time.Now().Add(balancer.NotifyBoundAfterMigration)
+					for _, f := range fleet {
+						go func() { f.migrations <- discovery.Target{Addr: "new"} }()
+					}
+					time.Sleep(20 * time.Second)
+					return latenessOf(fleet, notified)
+				})
+			})
+		}
+	}
+}
