--- a/internal/discovery/crowded_test.go
+++ b/internal/discovery/crowded_test.go
@@ -9,14 +9,15 @@
 // crowdedOutage is an outage that ends with a service that is slower than before it. Rejections come at once, as they did in
 // incident-6221, and one ends its agent's other calls.
 type crowdedOutage struct {
-	agents int
-	cost   time.Duration // of a call after the outage
-	outage time.Duration
-	change time.Duration // from the end of the outage to the change
+	agents  int
+	cost    time.Duration // of a call after the outage
+	outage  time.Duration
+	change  time.Duration // from the end of the outage to the change
+	maxWait time.Duration // of the service
 }
 
 func (c crowdedOutage) String() string {
-	return fmt.Sprintf("%d agents/%v a call/%v down/changed after %v", c.agents, c.cost, c.outage, c.change)
+	return fmt.Sprintf("%d agents/%v a call/%v down/changed after %v/waits %v", c.agents, c.cost, c.outage, c.change, c.maxWait)
 }
 
 // lateness plays a fleet and returns when each agent receives the change after that counts as notified.
@@ -27,6 +28,7 @@
 	)
 	s := newService(idleCost)
 	s.rejectsEarly = true
+	s.maxWait = c.maxWait
 	s.keepsWatches = true
 	s.failsTogether = true
 	s.rejectionTime = rejectionTime
@@ -55,13 +57,16 @@
 		seeds = 4
 	}
 	for _, c := range []crowdedOutage{
-		{agents: 6, cost: 300 * ms, outage: 7 * time.Second},
-		{agents: 6, cost: 500 * ms, outage: 7 * time.Second},
-		{agents: 30, cost: 100 * ms, outage: 7 * time.Second},
-		{agents: 60, cost: 50 * ms, outage: 7 * time.Second},
-		{agents: 30, cost: 100 * ms, outage: 30 * time.Second},
-		{agents: 32, cost: 200 * ms, outage: 7 * time.Second, change: 6400 * ms}, // one round of the service later
-		{agents: 44, cost: 200 * ms, outage: 7 * time.Second, change: 8800 * ms},
+		{agents: 6, cost: 300 * ms, outage: 7 * time.Second, maxWait: maxServiceWait},
+		{agents: 6, cost: 500 * ms, outage: 7 * time.Second, maxWait: maxServiceWait},
+		{agents: 30, cost: 100 * ms, outage: 7 * time.Second, maxWait: maxServiceWait},
+		{agents: 60, cost: 50 * ms, outage: 7 * time.Second, maxWait: maxServiceWait},
+		{agents: 30, cost: 100 * ms, outage: 30 * time.Second, maxWait: maxServiceWait},
+		{agents: 32, cost: 200 * ms, outage: 7 * time.Second, change: 6400 * ms, maxWait: maxServiceWait}, // one round of the service later
+		{agents: 44, cost: 200 * ms, outage: 7 * time.Second, change: 8800 * ms, maxWait: maxServiceWait},
+		{agents: 6, cost: 300 * ms, outage: 7 * time.Second, maxWait: 2500 * ms},
+		{agents: 30, cost: 100 * ms, outage: 7 * time.Second, maxWait: 2500 * ms},
+		{agents: 44, cost: 200 * ms, outage: 7 * time.Second, change: 8800 * ms, maxWait: 2500 * ms},
 	} {
 		if testing.Short() && c.agents > raceFleet {
 			continue
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -23,7 +23,7 @@
 	"example.org/ryeloft/internal/settings"
 )
 
-// maxServiceWait is how long a call may take at a service, its wait and its work; one that took longer is rejected.
+// maxServiceWait is the maxWait of most services.
 const maxServiceWait = time.Second
 
 // service is a discovery service on the test's clock. It works through calls in turn and rejects those that took too long, after
@@ -51,10 +51,11 @@
 	keepsWatches   bool          // a watch that continues is not rejected
 	failsTogether  bool          // a rejected call ends its caller's other calls, which are rejected with it
 	rejectionTime  time.Duration // from a call's begin to its rejection
+	maxWait        time.Duration // how long a call may take, its wait and its work; one that takes longer is rejected
 }
 
 func newService(cost time.Duration) *service {
-	return &service{cost: cost, revision: 1, changed: make(chan struct{}), broken: make(chan struct{})}
+	return &service{cost: cost, maxWait: maxServiceWait, revision: 1, changed: make(chan struct{}), broken: make(chan struct{})}
 }
 
 // change makes a new list.
@@ -136,7 +137,7 @@
 	if !a.rejected && s.rejections != nil {
 		a.rejected = s.rejections.IntN(4) == 0
 	}
-	if s.rejectsEarly && s.queue.End(s.cost).Sub(now) > maxServiceWait {
+	if s.rejectsEarly && s.queue.End(s.cost).Sub(now) > s.maxWait {
 		a.rejected = true
 	}
 	if s.keepsWatches && continues {
@@ -238,7 +239,7 @@
 		return nil, r.Context().Err()
 	case a.down && a.rejectsLate:
 		select {
-		case <-time.After(maxServiceWait):
+		case <-time.After(s.maxWait):
 			return unavailable(), nil
 		case <-r.Context().Done():
 			return nil, r.Context().Err()
@@ -257,7 +258,7 @@
 		case <-r.Context().Done():
 			return nil, r.Context().Err()
 		}
-		if a.done.Sub(now) > maxServiceWait {
+		if a.done.Sub(now) > s.maxWait {
 			return unavailable(), nil
 		}
 	}
