Take out state that can be derived, and give twin parts of the new tests one piece of code

The count of rejections was only compared with zero; whether discovery may be overloaded stands beside the evidence that it is; the time of a call is taken once. In tests the wait for a turn at a service, and the service that rejects as the operators' does, stood two and three times. A comment named a number of agents that is not in the incident's record.

--- a/cmd/agent/crowded_test.go
+++ b/cmd/agent/crowded_test.go
@@ -70,19 +70,9 @@
 	if !ok {
 		time.Sleep(rejectionTime)
 		c.endOthers(w.Agent)
-		return 0, lists.RejectedError{Cause: "too many callers"}
-	}
-	delay := time.Until(ends)
-	done := time.NewTimer(delay)
-	defer done.Stop()
-	select {
-	case <-done.C:
-		return delay, nil
-	case <-c.awaitRejected(w.Agent):
-		return delay, lists.RejectedError{Cause: "another call was rejected"}
-	case <-ctx.Done():
-		return delay, ctx.Err()
+		return 0, errTooManyCallers
 	}
+	return awaitTurn(ctx, ends, c.awaitRejected(w.Agent))
 }
 
 func (c *crowdedCalls) awaitRejected(agent int) <-chan struct{} {
--- a/cmd/agent/fleet_test.go
+++ b/cmd/agent/fleet_test.go
@@ -51,14 +51,24 @@
 	}
 	ends, ok := q.queue.ReserveWithin(q.cost, maxServiceWait)
 	if !ok {
-		return 0, lists.RejectedError{Cause: "too many callers"}
+		return 0, errTooManyCallers
 	}
+	return awaitTurn(ctx, ends, nil)
+}
+
+// errTooManyCallers is for calls that would take longer than maxServiceWait.
+var errTooManyCallers = lists.RejectedError{Cause: "too many callers"}
+
+// awaitTurn waits until the work on a call ends, unless another call of its agent is rejected, and returns how long that was planned to take.
+func awaitTurn(ctx context.Context, ends time.Time, otherRejected <-chan struct{}) (time.Duration, error) {
 	delay := time.Until(ends)
 	done := time.NewTimer(delay)
 	defer done.Stop()
 	select {
 	case <-done.C:
 		return delay, nil
+	case <-otherRejected:
+		return delay, lists.RejectedError{Cause: "another call was rejected"}
 	case <-ctx.Done():
 		return delay, ctx.Err()
 	}
--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -54,6 +54,12 @@
 	return !o.since.IsZero() && time.Since(o.since) >= overloadAfter
 }
 
+// possible says that polls may fail because the service has more callers than it can answer: no answer says otherwise, or polls time
+// out again and again.
+func (o *overload) possible(estimate *latencyEstimate, agents int) bool {
+	return estimate.assumed || estimate.exceeds(maxRound, agents) || o.timeouts >= overloadPolls
+}
+
 // nextPause is for how long discovery is to be left alone now; each in a row is twice the last.
 func (o *overload) nextPause() time.Duration {
 	o.pauses = min(o.pauses+1, maxDiscoveryPauses)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -267,19 +267,13 @@
 			event.Remaining = alreadyNotified
 		}
 		event.PollLatency = c.latency.round(c.agents()) / time.Duration(c.agents())
-		if update == balancer.PollFailed && !c.mayBeOverloaded() {
+		if update == balancer.PollFailed && !c.overload.possible(&c.latency, c.agents()) {
 			event.PollElapsed = c.lastCall.duration()
 		}
 	}
 	c.notify(event)
 }
 
-// mayBeOverloaded says that discovery may have more callers than it can answer: its answers do not say otherwise, or polls time out
-// again and again.
-func (c *Client) mayBeOverloaded() bool {
-	return !c.latency.isBelow(maxRound, c.agents()) || c.overload.timeouts >= overloadPolls
-}
-
 // recordMissed notes that an update was missed that counts as notified at a time. At relays, which are called one after the other
 // without end, a new bound begins when the last one is over.
 func (c *Client) recordMissed(at time.Time) {
--- a/internal/discovery/crowded_test.go
+++ b/internal/discovery/crowded_test.go
@@ -22,16 +22,9 @@
 
 // lateness plays a fleet and returns when each agent receives the change after that counts as notified.
 func (c crowdedOutage) lateness(t *testing.T, seed uint64) (by []time.Duration) {
-	const (
-		idleCost      = time.Millisecond
-		rejectionTime = 30 * time.Millisecond
-	)
-	s := newService(idleCost)
-	s.rejectsEarly = true
+	const idleCost = time.Millisecond
+	s := newOperatorsService(idleCost)
 	s.maxWait = c.maxWait
-	s.keepsWatches = true
-	s.failsTogether = true
-	s.rejectionTime = rejectionTime
 	text := testSettingsWith(pollMode, `"mustAskIn":10000,"drainGrace":300,`)
 	list := listText(1, true, memberText("x", "10.0.0.1:80", "Ready", 1))
 	fleet := startFleet(t, c.agents, text, map[string]*service{"old": s}, list, seed)
@@ -48,8 +41,8 @@
 }
 
 // Agents whose bound is over when an outage ends are answered by a service that has become slow and rejects those calls at once that would
-// wait for too long: a poll that it has taken is not ended by the agent's own hedge. In incident-6221 four agents of some thirty heard
-// nothing for 19 s.
+// wait for too long: a poll that it has taken is not ended by the agent's own hedge. In incident-6221 four agents heard nothing for
+// 19 s.
 func TestAgentsOverTheirBoundAreAnsweredByACrowdedService(t *testing.T) {
 	const ms = time.Millisecond
 	seeds := uint64(20)
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -58,6 +58,19 @@
 	return &service{cost: cost, maxWait: maxServiceWait, revision: 1, changed: make(chan struct{}), broken: make(chan struct{})}
 }
 
+// rejectionTime is how long after a call the operators' service rejects it.
+const rejectionTime = 30 * time.Millisecond
+
+// newOperatorsService makes a service that rejects calls as the operators' does (trial f50a0546).
+func newOperatorsService(cost time.Duration) *service {
+	s := newService(cost)
+	s.rejectsEarly = true
+	s.keepsWatches = true
+	s.failsTogether = true
+	s.rejectionTime = rejectionTime
+	return s
+}
+
 // change makes a new list.
 func (s *service) change() {
 	s.mu.Lock()
--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -6,13 +6,13 @@
 // it takes waits for its turn, and ends if a later call of the same agent is rejected. So a poll that may be waiting is not to be
 // hedged. Polls of relays say nothing about it.
 type crowding struct {
-	rejections int  // polls in a row
-	endedPoll  bool // a rejected hedge was followed by the rejection of its poll's first call
+	rejected  bool // a poll or watch, since the last answer
+	endedPoll bool // a rejected hedge was followed by the rejection of its poll's first call
 }
 
-// recordRejection notes that a poll was rejected, and whether its first call was so after its hedge.
+// recordRejection notes that a poll or watch was rejected, and whether its first call was so after its hedge.
 func (c *crowding) recordRejection(byHedge bool) {
-	c.rejections++
+	c.rejected = true
 	c.endedPoll = c.endedPoll || byHedge
 }
 
@@ -28,10 +28,7 @@
 		return 0, false
 	}
 	longest := pollTimeout / 2
-	if c.crowding.rejections > 0 {
-		return longest, true
-	}
-	if c.deadline.pending() {
+	if c.deadline.pending() && !c.crowding.rejected {
 		longest = min(longest, c.deadline.remaining()/2)
 	}
 	return max(minHedgeDelay, longest, c.latency.round(c.agents())/2), true
--- a/internal/discovery/latency.go
+++ b/internal/discovery/latency.go
@@ -63,8 +63,3 @@
 func (e *latencyEstimate) exceeds(limit time.Duration, agents int) bool {
 	return !e.assumed && e.latency*time.Duration(agents) >= limit
 }
-
-// isBelow says that by its answers the service needs less than a time to answer each agent once.
-func (e *latencyEstimate) isBelow(limit time.Duration, agents int) bool {
-	return !e.assumed && !e.exceeds(limit, agents)
-}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -60,8 +60,6 @@
 			open--
 			if isRejection(result.err) {
 				rejected++
-			}
-			if open == 0 {
 				c.lastCall.endedByHedge = rejected == maxParallelCalls
 			}
 			if open == 0 || endsPoll(result.err) {
--- a/internal/discovery/reloads_test.go
+++ b/internal/discovery/reloads_test.go
@@ -55,7 +55,7 @@
 					s := newService(c.cost)
 					s.rejectsEarly = c.early
 					s.failsTogether = true
-					s.rejectionTime = 30 * time.Millisecond
+					s.rejectionTime = rejectionTime
 					s.chargesWatches = c.paid
 					for _, by := range latenessAfterReloads(t, s, uint64(seed), c.rejects) {
 						if by > drainGrace {
@@ -128,7 +128,7 @@
 						s := newService(cost)
 						s.rejectsEarly = true
 						s.failsTogether = true
-						s.rejectionTime = 30 * time.Millisecond
+						s.rejectionTime = rejectionTime
 						s.chargesWatches = true
 						const span = 12 * time.Second
 						for i, by := range latenessInSeries(t, s, seed, gap, span) {
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -20,11 +20,7 @@
 
 // lateness plays a fleet and returns when each agent receives the change that is made as the way opens, after that counts as notified.
 func (c silence) lateness(t *testing.T, seed uint64) (by []time.Duration) {
-	s := newService(c.cost)
-	s.rejectsEarly = true
-	s.keepsWatches = true
-	s.failsTogether = true
-	s.rejectionTime = 30 * time.Millisecond
+	s := newOperatorsService(c.cost)
 	text := testSettingsWith(pollMode, `"mustAskIn":10000,"drainGrace":300,`)
 	list := listText(1, true, memberText("x", "10.0.0.1:80", "Ready", 1))
 	fleet := startFleet(t, c.agents, text, map[string]*service{"old": s}, list, seed)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -90,7 +90,7 @@
 	list, err := c.pollOrWatch(ctx, targetCtx, wait)
 	c.lastCall.end(time.Now())
 	c.onPoll(PollResult{
-		Wait: wait, Duration: time.Since(c.lastCall.began), Err: err, Rejected: isRejection(err),
+		Wait: wait, Duration: c.lastCall.duration(), Err: err, Rejected: isRejection(err),
 		Hedged: c.lastCall.hedged, EndedByHedge: c.lastCall.endedByHedge,
 	})
 	if err != nil {
