Answer a long body in its time even if its server does not take it

Callers saw: a client that had written the last byte of a card-sale of 4 to 6 MB got 503 after 10.0 s, with a budget of 2.5 s, if its server had stopped reading; after 6 to 10 s if the server read slowly. 0.5 s after its budget a request is lost.

Cause: writeRequest stopped the attempt's timer for the time in which a long body is sent, and restarted it with the whole budget after the last byte had gone to the server. It took a body that is being sent for one whose client is still sending. The sockets between client and agent hold megabytes, so the client may have finished long before. Excluded: Discard after the answer (the answer itself was late), the event loop and retries (SendTo alone, in simulated time, took 10 s, or 25 s with a server that reads 20 kB each 100 ms).

Change: the budget counts from the last arrival of bytes that a read on the client's connection had to wait for (Upload.Deadline). The kernel had nothing more at that moment, so the client was still sending; bytes that were there already prove nothing. The deadline bounds each write to the server, that of the head included, and the wait for the response. The server is told what is left of it, and no longer the whole budget after a slow connect.

--- a/internal/inbound/clientconn.go
+++ b/internal/inbound/clientconn.go
@@ -27,7 +27,7 @@
 )
 
 // clientConn is a client's connection. The reading goroutine owns the fields that the listener's mutex does not guard,
-// except startInstant, which is atomic.
+// except the instants, which are atomic.
 type clientConn struct {
 	*net.TCPConn
 	raw       syscall.RawConn
@@ -42,8 +42,9 @@
 	reading   bool // the first bytes of a request have been read
 	pipelined bool // so have the first bytes of the request after that
 
-	startInstant atomic.Int64 // clock.Instant when the current request began, or when the client connected if none has
-	head         headScanner
+	startInstant   atomic.Int64 // clock.Instant when the current request began, or when the client connected if none has
+	arrivalInstant atomic.Int64 // clock.Instant when a read last received bytes that it had waited for
+	head           headScanner
 }
 
 func newClientConn(tcp *net.TCPConn, l *Listener) (*clientConn, error) {
@@ -59,16 +60,21 @@
 // Read implements net.Conn. It detects the start of a request, because net/http reports a request only when its head is
 // complete, and applies the idle timeout to its first bytes.
 func (c *clientConn) Read(p []byte) (n int, err error) {
-	begins := false
+	begins, waited := false, false
 	if rawErr := c.raw.Read(func(fd uintptr) bool {
 		n, begins, err = c.listener.readConn(c, int(fd), p)
-		return !errors.Is(err, syscall.EAGAIN)
+		noInput := errors.Is(err, syscall.EAGAIN)
+		waited = waited || noInput
+		return !noInput
 	}); rawErr != nil {
 		return 0, rawErr
 	}
 	if err != nil {
 		return 0, err
 	}
+	if waited {
+		c.arrivalInstant.Store(int64(clock.InstantOf(time.Now())))
+	}
 	if begins && c.head.reused {
 		c.startRequest()
 	}
@@ -89,6 +95,11 @@
 	return clock.Instant(c.startInstant.Load()).Time()
 }
 
+// LastArrival implements stream.ArrivalClock.
+func (c *clientConn) LastArrival() time.Time {
+	return clock.Instant(c.arrivalInstant.Load()).Time()
+}
+
 // Close closes the connection. After a response or within a request it first closes the write side only, and the rest
 // when the client has closed its side or lingerTimeout has passed: closing a connection with unread bytes resets it,
 // and the client may lose a response that it has not read yet.
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -73,7 +73,7 @@
 	}
 	conn := connOf(r)
 	control := http.NewResponseController(w)
-	body, upload, err := readBody(r, stream.NewPacedReader(r.Body, control, conn.requestStart()))
+	body, upload, err := readBody(r, stream.NewPacedReader(r.Body, control, conn.requestStart()), conn)
 	if err != nil {
 		return nil, &badRequestError{http.StatusRequestTimeout, fmt.Sprintf("the body does not come: %v", err)}
 	}
@@ -176,9 +176,9 @@
 
 // readBody reads a body that is short enough to be buffered, or returns an upload. Nothing of an upload's body has been
 // read yet, or just more than can be buffered if its length is unknown.
-func readBody(r *http.Request, source io.Reader) (body []byte, upload *stream.Upload, err error) {
+func readBody(r *http.Request, source io.Reader, client stream.ArrivalClock) (body []byte, upload *stream.Upload, err error) {
 	if r.ContentLength > stream.MaxBufferedBytes {
-		return nil, stream.NewUpload(r.ContentLength, nil, source), nil
+		return nil, stream.NewUpload(r.ContentLength, nil, source, client), nil
 	}
 	if r.ContentLength >= 0 {
 		body = make([]byte, r.ContentLength)
@@ -187,7 +187,7 @@
 	}
 	body, err = io.ReadAll(io.LimitReader(source, stream.MaxBufferedBytes+1))
 	if len(body) > stream.MaxBufferedBytes {
-		return nil, stream.NewUpload(r.ContentLength, body, source), err
+		return nil, stream.NewUpload(r.ContentLength, body, source, client), err
 	}
 	return body, nil, err
 }
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -16,31 +16,49 @@
 // the first attempt that claims it owns its buffer and returns it. The mutex guards the source against concurrent use
 // by that attempt and the client's handler, which closes the upload.
 type Upload struct {
-	// Budget is the request's time budget, counted from its last byte. It is set before the first attempt.
+	// Budget is the request's time budget, counted from the last byte that the client sends. It is set before the first
+	// attempt.
 	Budget time.Duration
 	// OnComplete is called once, when the body has been read completely. It is set before the first attempt.
 	OnComplete func()
 
-	length   int64  // negative if unknown
-	prefix   []byte // the bytes read before the upload was created
-	buffers  *Buffers
-	buffer   []byte
-	complete atomic.Bool // the body has been read completely
+	length      int64  // negative if unknown
+	prefix      []byte // the bytes read before the upload was created
+	client      ArrivalClock
+	lastArrival time.Time // when the client was last known to be sending; used by the attempt only
+	buffers     *Buffers
+	buffer      []byte
+	complete    atomic.Bool // the body has been read completely
 
 	mu      sync.Mutex
 	source  io.Reader // nil once the request has ended
 	claimed bool
 }
 
+// ArrivalClock observes the arrival of bytes on a client's connection.
+type ArrivalClock interface {
+	// LastArrival returns when a read last received bytes that it had waited for. Until then the client had not sent
+	// everything that the read asked for.
+	LastArrival() time.Time
+}
+
 // NewUpload returns an upload of the given length, negative if unknown, whose prefix has already been read. The rest is
-// read from source.
-func NewUpload(length int64, prefix []byte, source io.Reader) *Upload {
-	return &Upload{length: length, prefix: prefix, source: source, OnComplete: func() {}}
+// read from source, which reads from the client's connection.
+func NewUpload(length int64, prefix []byte, source io.Reader, client ArrivalClock) *Upload {
+	return &Upload{
+		length: length, prefix: prefix, source: source, client: client, lastArrival: time.Now(), OnComplete: func() {},
+	}
 }
 
 // Length returns the length that the client has declared, or a negative number if it has not.
 func (u *Upload) Length() int64 { return u.length }
 
+// Deadline returns when the request's budget ends, as far as its body has been read. The last byte of a body that is
+// read without waiting may have been in the socket's buffers for as long as the server has been slow to take the body,
+// so the budget counts from the last arrival of bytes that a read had waited for. Only the attempt that claimed the body
+// may call Deadline.
+func (u *Upload) Deadline() time.Time { return u.lastArrival.Add(u.Budget) }
+
 // Complete reports whether the body has been read completely.
 func (u *Upload) Complete() bool { return u.complete.Load() }
 
@@ -118,8 +136,8 @@
 	SetWriteDeadline(time.Time) error
 }
 
-// SendTo copies the body to a server at the server's pace. The error wraps ErrBodyIncomplete if the rest of the body
-// could not be read from the client.
+// SendTo copies the body to a server at the server's pace, but not beyond the request's Deadline. The error wraps
+// ErrBodyIncomplete if the rest of the body could not be read from the client.
 func (u *Upload) SendTo(server ServerConn) error {
 	out := &uploadWriter{conn: server, buffered: bufio.NewWriter(server)}
 	out.body = out.buffered
@@ -127,17 +145,18 @@
 		out.chunks = httputil.NewChunkedWriter(out.buffered)
 		out.body = out.chunks
 	}
-	if err := out.write(u.prefix); err != nil {
+	if err := out.write(u.prefix, u.Deadline()); err != nil {
 		return err
 	}
 	u.prefix = nil
 	for {
 		n, err := u.read(u.buffer)
-		if werr := out.write(u.buffer[:n]); werr != nil {
+		u.updateLastArrival()
+		if werr := out.write(u.buffer[:n], u.Deadline()); werr != nil {
 			return werr
 		}
 		if err == io.EOF { //nolint:errorlint // a wrapped io.EOF means a truncated body
-			return out.close()
+			return out.close(u.Deadline())
 		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrBodyIncomplete, err)
@@ -145,6 +164,13 @@
 	}
 }
 
+// updateLastArrival records until when the last read waited, if it did.
+func (u *Upload) updateLastArrival() {
+	if arrival := u.client.LastArrival(); arrival.After(u.lastArrival) {
+		u.lastArrival = arrival
+	}
+}
+
 // uploadWriter writes a body as is if its length is known, and chunked otherwise.
 type uploadWriter struct {
 	conn     ServerConn
@@ -153,11 +179,13 @@
 	chunks   io.WriteCloser // nil if the length is known
 }
 
-func (w *uploadWriter) write(b []byte) error {
+// write writes a part of the body. It fails at the deadline, or when the server has not taken the part for
+// writeTimeout.
+func (w *uploadWriter) write(b []byte, deadline time.Time) error {
 	if len(b) == 0 {
 		return nil // an empty chunk would end the body
 	}
-	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := w.setDeadline(deadline); err != nil {
 		return err
 	}
 	if _, err := w.body.Write(b); err != nil {
@@ -166,18 +194,27 @@
 	return w.buffered.Flush()
 }
 
-// close writes the end of the body and clears the write deadline.
-func (w *uploadWriter) close() error {
-	if w.chunks != nil {
-		if err := w.chunks.Close(); err != nil {
-			return err
-		}
-		if _, err := io.WriteString(w.buffered, "\r\n"); err != nil { // no trailers
-			return err
-		}
-		if err := w.buffered.Flush(); err != nil {
-			return err
-		}
+// close writes the end of the body by the deadline.
+func (w *uploadWriter) close(deadline time.Time) error {
+	if w.chunks == nil {
+		return nil
+	}
+	if err := w.setDeadline(deadline); err != nil {
+		return err
+	}
+	if err := w.chunks.Close(); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w.buffered, "\r\n"); err != nil { // no trailers
+		return err
+	}
+	return w.buffered.Flush()
+}
+
+func (w *uploadWriter) setDeadline(deadline time.Time) error {
+	stalled := time.Now().Add(writeTimeout)
+	if stalled.Before(deadline) {
+		deadline = stalled
 	}
-	return w.conn.SetWriteDeadline(time.Time{})
+	return w.conn.SetWriteDeadline(deadline)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -36,8 +36,8 @@
 
 // Attempt holds the deadlines and callbacks of one exchange.
 type Attempt struct {
-	// Deadline is when the first bytes of the response must have arrived. A request with an upload has its
-	// Upload.Budget instead, counted from its last byte.
+	// Deadline is when the first bytes of the response must have arrived. Once the body of an upload is being sent,
+	// Upload.Deadline replaces it.
 	Deadline time.Time
 	// Timer ends the exchange's context at the deadline. It may be nil if neither request nor response can be a stream.
 	Timer *time.Timer
@@ -176,22 +176,34 @@
 	return nil
 }
 
-// writeRequest writes a request up to its last byte. For an upload the attempt's timer restarts after the last byte.
+// writeRequest writes a request up to its last byte.
 func (c *conn) writeRequest(r *Request, a *Attempt) error {
 	if r.upload == nil {
 		_, err := c.Write(r.encode(time.Until(a.Deadline)))
 		return err
 	}
+	return c.writeUpload(r, a)
+}
+
+// writeUpload writes a request whose body is an upload. The upload's deadline, which moves as long as the client is
+// sending, replaces that of the attempt: it bounds the writes, and after the last byte the attempt's timer.
+func (c *conn) writeUpload(r *Request, a *Attempt) error {
 	defer r.upload.Release()
 	a.OnStreaming()
 	a.Timer.Stop()
-	if _, err := c.Write(r.encode(r.upload.Budget)); err != nil {
+	if err := c.SetWriteDeadline(r.upload.Deadline()); err != nil {
+		return err
+	}
+	if _, err := c.Write(r.encode(time.Until(r.upload.Deadline()))); err != nil {
 		return err
 	}
 	if err := r.upload.SendTo(c); err != nil {
 		return err
 	}
-	a.Timer.Reset(r.upload.Budget)
+	a.Timer.Reset(time.Until(r.upload.Deadline()))
+	// This fails only on a closed connection. The request may have run by now, so the read that fails next decides the
+	// outcome.
+	_ = c.SetWriteDeadline(time.Time{})
 	return nil
 }
 
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -192,7 +192,7 @@
 		cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
 		p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
 		buffers := stream.NewBuffers(2 * stream.BufferBytes)
-		upload := stream.NewUpload(100_000, nil, stream.NewPacedReader(bytes.NewReader(agenttest.Pattern(100_000)), http.NewResponseController(httptest.NewRecorder()), time.Time{}))
+		upload := stream.NewUpload(100_000, nil, stream.NewPacedReader(bytes.NewReader(agenttest.Pattern(100_000)), http.NewResponseController(httptest.NewRecorder()), time.Time{}), noArrivals{})
 		upload.Budget = agenttest.Timeout
 		if !upload.Reserve(buffers) || buffers.Free() != 1 {
 			t.Fatal("no buffer")
