Send no more of a request's body once its client has been answered

Callers saw: a card-sale whose chunked body was still arriving 3.55 s after SIGTERM (or 3.8 s after drain-on) was answered with 502, and its server ran it with a body that lacked parts, if limits.cancel is false.

Cause: failRequest abandons the request, and respond reads the rest of the body so that the client can see the answer. The attempt reads the same body until it is cancelled, which is asynchronous and depends on a setting. The two readers took turns, both saw the end of the body, and the attempt wrote the last chunk. Excluded: the parsing of chunks (bodies are unchanged without SIGTERM), two attempts (Claim allows one), net/http as a third reader (it skips the body of a response with Connection: close).

Change: the handler revokes the body before it writes its answer, in any settings. The attempt can then neither claim the body nor read any of it, and drops a part that it was waiting for; so the end never goes to the server.

--- a/internal/agent/upload_test.go
+++ b/internal/agent/upload_test.go
@@ -14,6 +14,7 @@
 
 	"example.org/ryeloft/internal/agenttest"
 	"example.org/ryeloft/internal/protocol"
+	"example.org/ryeloft/internal/stream"
 )
 
 // uploadHead returns the head of a request of the unsafe class with the given framing header.
@@ -87,3 +88,80 @@
 		})
 	}
 }
+
+// A request whose long body is still arriving when the agent is about to be killed is answered as failed, and its server
+// never gets the end of the body, whether or not the settings allow the agent to cancel attempts. Once the server ran
+// such a request without the parts of its body that the agent had discarded.
+func TestShutdownEndsLongBodies(t *testing.T) {
+	const partBytes, laterParts = 2 << 10, 100
+	first, later := strings.Repeat("f", stream.MaxBufferedBytes+1), strings.Repeat("l", partBytes)
+	shortDeadlines := strings.ReplaceAll(agenttest.Settings, `"aim":20000,"deadline":30000`, `"aim":1000,"deadline":1000`)
+	for _, cancel := range []string{"true", "false"} {
+		for _, chunked := range []bool{true, false} {
+			t.Run(fmt.Sprintf("cancel %s, chunked %v", cancel, chunked), func(t *testing.T) {
+				t.Parallel()
+				server := serveBodies(t)
+				d := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("s", server.addr, "Ready", 0)))
+				settings := strings.Replace(shortDeadlines, `"cancel":true`, `"cancel":`+cancel, 1)
+				a := start(t, agenttest.Config(t, d.Listener.Addr().String(), settings))
+				client := a.dial(t)
+				framing, end := fmt.Sprintf("Content-Length: %d", len(first)+laterParts*partBytes), ""
+				part := func(text string) string { return text }
+				if chunked {
+					framing, end = "Transfer-Encoding: chunked", "0\r\n\r\n"
+					part = func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+				}
+				io.WriteString(client, a.uploadHead(15*time.Second, framing)+part(first))
+				agenttest.Receive(t, "head of the request", server.heads)
+				a.stop()
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if err != nil || resp.StatusCode != protocol.StatusFailed {
+					t.Fatalf("got response %v, error %v, want status %d", resp, err, protocol.StatusFailed)
+				}
+				for range laterParts {
+					io.WriteString(client, part(later)) // fails once the agent has ended
+				}
+				io.WriteString(client, end)
+				client.Close()
+				if err := agenttest.Receive(t, "end of the body", server.bodies); err == nil {
+					t.Error("the server received a complete request whose client was answered before")
+				}
+			})
+		}
+	}
+}
+
+// bodyServer reads requests and answers none.
+type bodyServer struct {
+	addr   string
+	heads  chan string // the path of each request
+	bodies chan error  // the error with which the body of each request ends, or nil if it is complete
+}
+
+// serveBodies starts a bodyServer, which reads one connection after the other.
+func serveBodies(t *testing.T) *bodyServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &bodyServer{addr: l.Addr().String(), heads: make(chan string, 1), bodies: make(chan error, 1)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				continue
+			}
+			s.heads <- r.URL.Path
+			_, err = io.Copy(io.Discard, r.Body)
+			s.bodies <- err
+		}
+	}()
+	return s
+}
--- a/internal/inbound/response.go
+++ b/internal/inbound/response.go
@@ -18,12 +18,15 @@
 	h.writeResponse(w, dispatch.Response{Status: bad.status, ContentType: "text/plain", Body: []byte(bad.reason + "\n")})
 }
 
-// respond writes a buffered response to a request and counts it.
+// respond writes a buffered response to a request and counts it. From then on no server gets any more of the request.
 func (h *clientHandler) respond(x *exchange, response dispatch.Response) {
+	upload := x.upload()
+	if upload != nil {
+		upload.Revoke()
+	}
 	h.metrics.RequestAnswered(x.request.ClassName, metrics.ResultOf(response.Status))
 	h.closeAfterUpload(x)
 	h.writeResponse(x.w, response)
-	upload := x.upload()
 	if upload != nil && !upload.Complete() && http.NewResponseController(x.w).Flush() == nil {
 		h.listener.requestAnswered(x.conn)
 		upload.Discard()
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -29,6 +29,7 @@
 	buffers     *Buffers
 	buffer      []byte
 	complete    atomic.Bool // the body has been read completely
+	revoked     atomic.Bool // the request has ended: nothing more of the body is sent
 
 	mu      sync.Mutex
 	source  io.Reader // nil once the request has ended
@@ -69,9 +70,14 @@
 	return u.buffer != nil
 }
 
-// Claim claims the body for an attempt, or for Close if there was no attempt. Only the first call returns true, and its
-// caller must call Release.
+// Claim claims the body for an attempt. It returns false if another attempt has claimed it, or if the request has ended.
+// An attempt that has claimed the body must call Release.
 func (u *Upload) Claim() bool {
+	return !u.revoked.Load() && u.claim()
+}
+
+// claim claims the body for an attempt, or for Close if there was no attempt. Only the first call returns true.
+func (u *Upload) claim() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.claimed {
@@ -89,12 +95,13 @@
 // handler has returned. It returns the buffer if no attempt has claimed the body.
 func (u *Upload) Close(conn ReadDeadliner) {
 	u.stop(conn)
-	if u.buffer != nil && u.Claim() {
+	if u.buffer != nil && u.claim() {
 		u.Release()
 	}
 }
 
 func (u *Upload) stop(conn ReadDeadliner) {
+	u.Revoke()
 	if u.Complete() {
 		return
 	}
@@ -119,8 +126,25 @@
 	return n, err
 }
 
-// Discard reads and discards the rest of the body, because a client that is still sending when its connection closes
-// may never receive the response.
+// readToSend reads the next part of the body for the attempt. It fails once the body has been revoked, even if it has read
+// a part: an earlier one may have been discarded, and a server that received the end of the body would run a request
+// that nobody sent.
+func (u *Upload) readToSend(b []byte) (int, error) {
+	if u.revoked.Load() {
+		return 0, ErrClosed
+	}
+	n, err := u.read(b)
+	if u.revoked.Load() {
+		return 0, ErrClosed
+	}
+	return n, err
+}
+
+// Revoke ends the sending of the body to a server, whether or not the attempt is cancelled as well.
+func (u *Upload) Revoke() { u.revoked.Store(true) }
+
+// Discard reads and discards the rest of a body that has been revoked, because a client that is still sending when its
+// connection closes may never receive the response.
 func (u *Upload) Discard() {
 	var b [4 << 10]byte
 	for {
@@ -150,7 +174,7 @@
 	}
 	u.prefix = nil
 	for {
-		n, err := u.read(u.buffer)
+		n, err := u.readToSend(u.buffer)
 		u.updateLastArrival()
 		if werr := out.write(u.buffer[:n], u.Deadline()); werr != nil {
 			return werr
