Forward long responses without waiting for a buffer

Cause: as with the long body to a hung server, the attempt's timer is off once a response streams, and CopyTo waited for a buffer of the pool without a limit before it wrote the head.

Change: the beginning of the response, which is in memory already, is written first, and its memory serves as the buffer for the rest if it is at least 32 KiB; else a free buffer of the pool, or one of 4 KiB. Buffers.Get is gone.

--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -145,6 +145,56 @@
 	}
 }
 
+// The first bytes of a long response are forwarded even if other long responses use all buffers, whether they arrive
+// together with the head or later. Once they were held back until another response had ended, beyond the client's
+// timeout.
+func TestLongResponsesDoNotWaitForBuffers(t *testing.T) {
+	const pieceBytes, responses = 1000, 5
+	for name, beginning := range map[string]struct {
+		bytes int
+		pause time.Duration // after the head
+	}{
+		"long beginning":  {stream.MaxBufferedBytes + pieceBytes, 0},
+		"short beginning": {pieceBytes, 0},
+		"head only":       {pieceBytes, 2 * upstream.MaxBufferTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.(http.Flusher).Flush()
+				time.Sleep(beginning.pause)
+				w.Write(make([]byte, beginning.bytes))
+				w.(http.Flusher).Flush()
+				for r.Context().Err() == nil { // so that the response neither ends nor pauses
+					time.Sleep(100 * time.Millisecond)
+					w.Write(make([]byte, pieceBytes))
+					w.(http.Flusher).Flush()
+				}
+			}))
+			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+			d := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("s", s.Listener.Addr().String(), "Ready", 0)))
+			cfg := agenttest.Config(t, d.Listener.Addr().String(), agenttest.Settings)
+			cfg.MemoryMB = 1 // two buffers
+			a := start(t, cfg)
+			client := &http.Client{Transport: a.client.Transport} // without a timeout, which would end the earlier responses
+			for i := range responses {
+				firstBytes := make(chan error, 1)
+				go func() {
+					resp, err := client.Do(a.request("safe", "15000m"))
+					if err == nil {
+						t.Cleanup(func() { resp.Body.Close() })
+						_, err = io.ReadFull(resp.Body, make([]byte, pieceBytes))
+					}
+					firstBytes <- err
+				}()
+				if err := agenttest.Receive(t, "first bytes", firstBytes); err != nil {
+					t.Fatalf("response %d: %v", i, err)
+				}
+			}
+		})
+	}
+}
+
 // A long response that breaks off before any of it was forwarded is a failed attempt and is retried.
 func TestLongResponseBrokenEarly(t *testing.T) {
 	for _, framing := range []string{"Content-Length: 200000", "Transfer-Encoding: chunked"} {
--- a/internal/stream/buffers.go
+++ b/internal/stream/buffers.go
@@ -1,7 +1,5 @@
 package stream
 
-import "context"
-
 // Buffers is a bounded pool of buffers that all streams of the agent share. Any goroutine may call its methods.
 type Buffers struct {
 	free chan []byte // nil stands for a buffer that is not allocated yet
@@ -26,16 +24,6 @@
 	}
 }
 
-// Get waits for a buffer. It returns nil if the context ends first.
-func (b *Buffers) Get(ctx context.Context) []byte {
-	select {
-	case buffer := <-b.free:
-		return ensureAllocated(buffer)
-	case <-ctx.Done():
-		return nil
-	}
-}
-
 // Put returns a buffer to the pool.
 func (b *Buffers) Put(buffer []byte) { b.free <- buffer }
 
--- a/internal/stream/buffers_test.go
+++ b/internal/stream/buffers_test.go
@@ -14,7 +14,7 @@
 		t.Error("got a fourth buffer, want three at most")
 	}
 	buffers.Put(make([]byte, BufferBytes))
-	if buffers.Get(t.Context()) == nil {
+	if buffers.TryGet() == nil {
 		t.Error("got no buffer after one was returned")
 	}
 }
--- a/internal/stream/download.go
+++ b/internal/stream/download.go
@@ -43,14 +43,11 @@
 func (d *Download) CopyTo(ctx context.Context, w http.ResponseWriter, buffers *Buffers) (err error) {
 	defer func() { d.Finish(err) }()
 	defer context.AfterFunc(ctx, d.abort)()
-	buffer := buffers.Get(ctx)
-	if buffer == nil {
-		return ErrNotRead
-	}
-	defer buffers.Put(buffer)
 	if err := writeAndFlush(w, d.prefix); err != nil {
 		return err
 	}
+	buffer, release := d.restBuffer(buffers)
+	defer release()
 	for {
 		if err := d.conn.SetReadDeadline(time.Now().Add(maxResponsePause)); err != nil {
 			return err
@@ -70,6 +67,19 @@
 	}
 }
 
+// restBuffer returns a buffer for the rest of the response once the prefix has been written, and a function that releases
+// it. It does not wait for a buffer, because the client's time is running: a prefix that is long enough becomes the
+// buffer, and if no other one is free, a small one serves.
+func (d *Download) restBuffer(buffers *Buffers) (buffer []byte, release func()) {
+	if cap(d.prefix) >= BufferBytes {
+		return d.prefix[:cap(d.prefix)], func() {}
+	}
+	if buffer = buffers.TryGet(); buffer != nil {
+		return buffer, func() { buffers.Put(buffer) }
+	}
+	return make([]byte, minBufferBytes), func() {}
+}
+
 // writeAndFlush writes a piece of a response and flushes it.
 func writeAndFlush(w http.ResponseWriter, b []byte) error {
 	conn := http.NewResponseController(w)
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -1,7 +1,7 @@
 // Package stream forwards request and response bodies that are too long to be buffered completely. Of each stream only
-// a few kilobytes are in memory at any time, in Buffers that all streams of the agent share. An Upload is read from a
-// client and written to a server, a Download is read from a server and written to a client. The package opens no
-// connections and makes no routing decisions.
+// a few kilobytes are in memory at any time: in Buffers that all streams of the agent share, or in the memory of what has
+// been read of a response before it became a stream. An Upload is read from a client and written to a server, a Download
+// is read from a server and written to a client. The package opens no connections and makes no routing decisions.
 package stream
 
 import (
@@ -18,6 +18,8 @@
 	MaxBytes = 40 << 20
 	// BufferBytes is the size of a stream's buffer.
 	BufferBytes = 32 << 10
+	// minBufferBytes is the size of the buffer of a download for which no other one is free.
+	minBufferBytes = 4 << 10
 	// writeTimeout is how long a client or a server may take to read the content of one buffer.
 	writeTimeout = 10 * time.Second
 )
