Keep a restarted relay from continuing with another service's list

Cause: the stored list did not say which service it was from; the relay asked the new service for the changes since the old one's revision, which mean something else there, and mixed both lists.

Change: a list from discovery names the service that numbers its revisions, and the relay compares that with the service of its own list, in place of the flag that only Migrate set. The address is stored beside the list, whose format stays; a list of another service is not loaded. The old list is removed before the address changes.

--- a/internal/relay/disk.go
+++ b/internal/relay/disk.go
@@ -10,14 +10,17 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"example.org/ryeloft/internal/discovery"
 )
 
 const (
-	listFileName = "list"     // in the state directory
-	tempFileName = "list.new" // renamed to listFileName once it is synced to disk
+	listFileName   = "list"          // in the state directory
+	sourceFileName = "discovery"     // address of the service whose list is stored, and a newline
+	tempFileName   = "list.new"      // renamed to listFileName once it is synced to disk
+	tempSourceName = "discovery.new" // renamed to sourceFileName likewise
 
 	// The file of a stored list consists of the magic, the length of the text as a big-endian 64-bit integer, the
 	// SHA-256 of the text, and the text: a full list in the JSON format of a discovery response.
@@ -26,12 +29,59 @@
 	maxTextBytes = 4 << 20 // also the limit of the discovery client
 )
 
-// errCorrupt is returned for a stored list whose content differs from what was written.
-var errCorrupt = errors.New("stored list corrupt")
+var (
+	// errCorrupt is returned for a stored list whose content differs from what was written.
+	errCorrupt = errors.New("stored list corrupt")
+	// errOtherSource is returned for a stored list of another service, whose revisions are unrelated.
+	errOtherSource = errors.New("stored list is from another discovery address")
+)
 
-// listFile stores a relay's last list in a directory. Only one goroutine may use it at a time.
+// listFile stores a relay's last list in a directory, and which service it is from. Only one goroutine may use it at a
+// time.
 type listFile struct{ dir string }
 
+// loadFrom is load for a list of the given service. If the list is from another one, the error wraps errOtherSource.
+// Earlier releases did not store the source; their lists are taken to be from the given service.
+func (f listFile) loadFrom(source string) (discovery.EndpointList, error) {
+	stored, err := f.source()
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return discovery.EndpointList{}, fmt.Errorf("reading the source of the stored list: %w", err)
+	case stored != source:
+		return discovery.EndpointList{}, fmt.Errorf("%w: %q, not %q", errOtherSource, stored, source)
+	}
+	return f.load()
+}
+
+// saveFrom is save for a list of the given service. A list of another service is removed before the source changes, so
+// that after a crash at any moment the source is that of the list, or there is no list.
+func (f listFile) saveFrom(source string, text []byte) error {
+	if stored, err := f.source(); err != nil || stored != source {
+		if err := f.changeSource(source); err != nil {
+			return fmt.Errorf("storing the source of the list: %w", err)
+		}
+	}
+	return f.save(text)
+}
+
+// source returns the service whose list is stored.
+func (f listFile) source() (string, error) {
+	text, err := os.ReadFile(filepath.Join(f.dir, sourceFileName))
+	return strings.TrimSuffix(string(text), "\n"), err
+}
+
+// changeSource removes the stored list, and stores the source of the next one.
+func (f listFile) changeSource(source string) error {
+	if err := os.Remove(filepath.Join(f.dir, listFileName)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := syncDir(f.dir); err != nil {
+		return err
+	}
+	return f.replaceFile(tempSourceName, sourceFileName, []byte(source+"\n"))
+}
+
 // load reads the list that was saved last. If there is none, the error wraps fs.ErrNotExist. If the file is not a full
 // list exactly as written by save, the error wraps errCorrupt.
 func (f listFile) load() (discovery.EndpointList, error) {
@@ -53,17 +103,22 @@
 // save stores the text of a full list. It is crash-safe: load returns the previous list until the new one is completely
 // on disk.
 func (f listFile) save(text []byte) error {
-	next := filepath.Join(f.dir, tempFileName)
-	if err := writeSynced(next, encodeFile(text)); err != nil {
+	if err := f.replaceFile(tempFileName, listFileName, encodeFile(text)); err != nil {
 		return fmt.Errorf("storing the list: %w", err)
 	}
-	if err := os.Rename(next, filepath.Join(f.dir, listFileName)); err != nil {
-		return fmt.Errorf("storing the list: %w", err)
+	return nil
+}
+
+// replaceFile replaces a file of the directory in one step, by way of a temporary one, and syncs it to disk.
+func (f listFile) replaceFile(tempName, name string, data []byte) error {
+	temp := filepath.Join(f.dir, tempName)
+	if err := writeSynced(temp, data); err != nil {
+		return err
 	}
-	if err := syncDir(f.dir); err != nil {
-		return fmt.Errorf("storing the list: %w", err)
+	if err := os.Rename(temp, filepath.Join(f.dir, name)); err != nil {
+		return err
 	}
-	return nil
+	return syncDir(f.dir)
 }
 
 // encodeFile returns the file content for a text: the header, then the text.
@@ -121,10 +176,12 @@
 	return f.Sync()
 }
 
-// loadStored returns the stored list, or an empty value if there is none or it is unusable.
+// loadStored returns the stored list, or an empty value if there is none, it is unusable or from another service.
 func (r *Relay) loadStored() discovery.EndpointList {
-	list, err := r.file.load()
+	list, err := r.file.loadFrom(r.options.Discovery)
 	switch {
+	case errors.Is(err, errOtherSource):
+		r.log.Info("stored endpoint list not used", "reason", err)
 	case err == nil:
 		r.log.Info("stored endpoint list loaded", "revision", *list.Revision, "members", len(list.Members))
 		return list
@@ -155,7 +212,9 @@
 // storeList stores the list unless it is already on disk. After an error, the list is not stored again before the next
 // change or the end of Run. Only Run's goroutine calls it.
 func (r *Relay) storeList() {
-	list := r.store.Since(0, false)
+	r.mu.Lock()
+	list, source := r.store.Since(0, false), r.source
+	r.mu.Unlock()
 	if list.Body == nil {
 		return
 	}
@@ -163,7 +222,7 @@
 	if r.savedBody != nil && &r.savedBody[0] == &list.Body[0] {
 		return
 	}
-	if err := r.file.save(list.Body); err != nil {
+	if err := r.file.saveFrom(source, list.Body); err != nil {
 		r.log.Error("storing the endpoint list failed", "error", err)
 		return
 	}
--- a/internal/relay/disk_test.go
+++ b/internal/relay/disk_test.go
@@ -103,6 +103,53 @@
 	}
 }
 
+// After a crash while the list of another service is being stored, no list may be loaded for a service that it is not
+// from, and the list must still be loaded if the crash came before it was replaced.
+func TestInterruptedChangeOfSource(t *testing.T) {
+	const old, next = "10.0.0.1:80", "10.0.0.2:80"
+	text := func(revision uint64) []byte {
+		return lists.Encode(revision, true, []discovery.Member{member("x", "Ready", 0)})
+	}
+	steps := []func(listFile) error{
+		func(f listFile) error {
+			return os.WriteFile(filepath.Join(f.dir, tempSourceName), []byte(next[:3]), 0o600)
+		},
+		func(f listFile) error { return os.Remove(filepath.Join(f.dir, listFileName)) },
+		func(f listFile) error { return f.changeSource(next) },
+		func(f listFile) error { return f.saveFrom(next, text(2)) },
+	}
+	want := [][2]uint64{{1, 0}, {0, 0}, {0, 0}, {0, 2}} // revisions for old and next after each step; 0: no list
+	f := listFile{dir: t.TempDir()}
+	if err := f.saveFrom(old, text(1)); err != nil {
+		t.Fatal(err)
+	}
+	for i, step := range steps {
+		if err := step(f); err != nil {
+			t.Fatal(err)
+		}
+		for j, source := range []string{old, next} {
+			var got uint64
+			if l, err := f.loadFrom(source); err == nil {
+				got = *l.Revision
+			}
+			if got != want[i][j] {
+				t.Errorf("after step %d, list for %s: got revision %d, want %d", i, source, got, want[i][j])
+			}
+		}
+	}
+}
+
+// A list that an earlier release has stored, without its source, must still be loaded.
+func TestListWithoutSourceIsLoaded(t *testing.T) {
+	f := listFile{dir: t.TempDir()}
+	if err := f.save(lists.Encode(41, true, []discovery.Member{member("x", "Ready", 0)})); err != nil {
+		t.Fatal(err)
+	}
+	if l, err := f.loadFrom("10.0.0.1:80"); err != nil || *l.Revision != 41 {
+		t.Errorf("got %+v, error %v, want revision 41", l, err)
+	}
+}
+
 // A list that cannot be loaded or stored must be reported as an error.
 func TestStorageErrors(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -145,7 +145,7 @@
 		switch {
 		case q.hasRevision && q.revision > revision:
 			return r.syncedAt.After(arrived)
-		case q.hasRevision && q.revision == revision && r.hasList:
+		case q.hasRevision && q.revision == revision && r.source != "":
 			return true
 		}
 		return !r.syncedAt.IsZero()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,8 +3,8 @@
 // decisions about endpoints.
 //
 // The list is in a lists.Store. The store, the limiter and the counters are safe for concurrent use. Relay.mu guards
-// the state of the upstream connection: whether the relay has a list, when that was last synced, and whether calls may
-// be served. Run starts the goroutine of the discovery client, the only one that updates the store, and itself stores
+// the state of the upstream connection: whose list the relay has, when that was last synced, and whether calls may be
+// served. Run starts the goroutine of the discovery client, the only one that updates the store, and itself stores
 // the list on disk.
 package relay
 
@@ -72,36 +72,33 @@
 	settings   settings.Settings
 	counters   counters
 
-	mu           sync.Mutex
-	upstreamAddr string
-	hasList      bool
-	migrated     bool // the next full list is from another service, whose revisions are unrelated
-	ended        bool // Run is ending or has ended
-	startedAt    time.Time
-	syncedAt     time.Time          // start of the last successful call to upstream; zero: none yet
-	synced       chan struct{}      // closed at the next successful call to upstream
-	callsCtx     context.Context    // cancels the calls in flight when the relay becomes stale or ends
-	cancelCalls  context.CancelFunc // cancels callsCtx
-	staleTimer   *time.Timer        // runs becomeStale
+	mu          sync.Mutex
+	source      string // address of the service whose list is in the store; empty: there is no list yet
+	ended       bool   // Run is ending or has ended
+	startedAt   time.Time
+	syncedAt    time.Time          // start of the last successful call to upstream; zero: none yet
+	synced      chan struct{}      // closed at the next successful call to upstream
+	callsCtx    context.Context    // cancels the calls in flight when the relay becomes stale or ends
+	cancelCalls context.CancelFunc // cancels callsCtx
+	staleTimer  *time.Timer        // runs becomeStale
 
 	savedBody []byte // the store's encoding of the list on disk; used only by Run's goroutine
 }
 
-// New returns a relay that starts with the list stored on disk, if there is a valid one.
+// New returns a relay that starts with the list stored on disk, if there is a valid one of the same upstream service.
 func New(o Options) (*Relay, error) {
 	if err := os.MkdirAll(o.State, 0o700); err != nil {
 		return nil, fmt.Errorf("creating the state directory: %w", err)
 	}
 	r := &Relay{
-		options:      o,
-		log:          o.Log,
-		file:         listFile{dir: o.State},
-		store:        lists.NewStore(maxLoggedRevisions),
-		limiter:      newFullListLimiter(o.FullListsPerSecond, o.MaxCallers),
-		migrations:   make(chan discovery.Target),
-		upstreamAddr: o.Discovery,
-		startedAt:    time.Now(),
-		synced:       make(chan struct{}),
+		options:    o,
+		log:        o.Log,
+		file:       listFile{dir: o.State},
+		store:      lists.NewStore(maxLoggedRevisions),
+		limiter:    newFullListLimiter(o.FullListsPerSecond, o.MaxCallers),
+		migrations: make(chan discovery.Target),
+		startedAt:  time.Now(),
+		synced:     make(chan struct{}),
 		// In push mode the client retries soon and on its own schedule, which is acceptable for a handful of relays.
 		// Poll mode is for hundreds of callers and needs a balancer.
 		settings: settings.Settings{Balancer: balancer.Settings{Agents: 1}, DrainGrace: maxUpstreamBackoff},
@@ -128,8 +125,7 @@
 		Log:        o.Log,
 	})
 	if stored := r.loadStored(); stored.Complete {
-		r.store.Reset(*stored.Revision, stored.Members)
-		r.hasList = true
+		r.resetStore(o.Discovery, *stored.Revision, stored.Members)
 		r.client.StartFrom(stored)
 	}
 	return r, nil
@@ -157,12 +153,6 @@
 // full lists. It must be called while Run is running: it returns once Run's client has the address or the context ends.
 func (r *Relay) Migrate(ctx context.Context, upstreamAddr string, fullListsPerSecond float64) {
 	r.limiter.setRate(fullListsPerSecond)
-	r.mu.Lock()
-	if upstreamAddr != r.upstreamAddr {
-		r.migrated = true
-	}
-	r.upstreamAddr = upstreamAddr
-	r.mu.Unlock()
 	select {
 	case r.migrations <- discovery.Target{Addr: upstreamAddr}:
 	case <-ctx.Done():
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -274,6 +274,39 @@
 	}
 }
 
+// A relay that restarts with another discovery address must not continue from the list that it stored: the revisions of
+// the new service are unrelated. Once it mixed both lists, and its agents sent to servers that had been drained.
+func TestRestartAtOtherUpstream(t *testing.T) {
+	for _, revision := range []uint64{3, 7, 100} {
+		for _, moved := range []bool{false, true} { // by Migrate, before the restart
+			t.Run(fmt.Sprintf("revision %d, moved before %v", revision, moved), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n, state := newNetwork(), t.TempDir()
+					newUpstream(t, n, 7, member("x", "Ready", 0), member("y", "Ready", 0))
+					other := &upstream{Store: newUpstream(t, newNetwork(), 1, member("y", "Ready", 0), member("z", "Ready", 0)).Store, net: n, addr: "other:1"}
+					other.apply(revision, member("y", "Terminating", 0))
+					other.up()
+					t.Cleanup(other.down)
+					r := startRelay(t, n, "relay:1", state)
+					time.Sleep(time.Second)
+					if moved {
+						r.Migrate(t.Context(), other.addr, 60)
+						time.Sleep(time.Second)
+					}
+					r.stop() // stores the last list
+					r = startRelayAt(t, n, "relay:1", other.addr, state)
+					time.Sleep(time.Second)
+					call(t, n, r.addr, "").check(t, "the full list", revision, true, "yT zR")
+					r.stop()
+					r = startRelay(t, n, "relay:1", state)
+					time.Sleep(time.Second)
+					call(t, n, r.addr, "").check(t, "back at the first service", 7, true, "xR yR")
+				})
+			})
+		}
+	}
+}
+
 // At shutdown, a relay must reject waiting calls immediately, accept no more connections and store its list.
 func TestShutdown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -13,26 +13,36 @@
 func (r *Relay) onWatchEvent(event discovery.WatchEvent) {
 	switch event.Update {
 	case balancer.EndpointsReplaced:
-		r.replace(event.Revision, event.Members)
+		r.replace(event)
 	case balancer.EndpointsChanged:
 		r.apply(event.Revision, event.Members)
 	}
 }
 
 // replace applies a full list to the store. If its revision follows the current one, replace applies the differences as
-// changes, so that hundreds of callers do not need the full list again.
-func (r *Relay) replace(revision uint64, members []discovery.Member) {
-	r.mu.Lock()
-	reset := r.migrated || !r.hasList || revision <= r.store.Revision()
-	r.migrated = false
-	r.hasList = true
-	r.mu.Unlock()
-	if reset {
-		r.reportUpdate(revision, len(members))
-		r.store.Reset(revision, members)
+// changes, so that hundreds of callers do not need the full list again. Revisions of another service are unrelated.
+func (r *Relay) replace(event discovery.WatchEvent) {
+	if r.listSource() == event.Service && event.Revision > r.store.Revision() {
+		r.apply(event.Revision, difference(r.store.Members(), event.Members))
 		return
 	}
-	r.apply(revision, difference(r.store.Members(), members))
+	r.reportUpdate(event.Revision, len(event.Members))
+	r.resetStore(event.Service, event.Revision, event.Members)
+}
+
+// listSource returns the address of the service whose list is in the store, or an empty string if there is no list.
+func (r *Relay) listSource() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source
+}
+
+// resetStore replaces the store's list by one of the given service, in one step for storeList.
+func (r *Relay) resetStore(source string, revision uint64, members []discovery.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.source = source
+	r.store.Reset(revision, members)
 }
 
 // apply applies changes to the store.
