--- a/internal/agent/upload_test.go
+++ b/internal/agent/upload_test.go
@@ -18,9 +18,9 @@
 )
 
 // uploadHead returns the head of a request of the unsafe class with the given framing header.
-func (r *testAgent) uploadHead(budget time.Duration, framing string) string {
+func (r *testAgent) uploadHead(budget time.Duration, framing agenttest.Framing) string {
 	return fmt.Sprintf("POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: call-%d\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\n"+
-		"X-Budget: %dm\r\n%s\r\n\r\n", r.requestCount.Add(1), budget.Milliseconds(), framing)
+		"X-Budget: %dm\r\n%s\r\n\r\n", r.requestCount.Add(1), budget.Milliseconds(), framing.Header)
 }
 
 // listenWithReadBuffer returns a listener whose connections have a receive buffer of the given size.
@@ -47,10 +47,8 @@
 // before. Once it got the answer after 10 s, because the budget began only when the server had taken the last byte.
 func TestLongBodyToHungServerIsAnsweredInTime(t *testing.T) {
 	const bodyBytes, budget, lateness = 4 << 20, 1500 * time.Millisecond, 500 * time.Millisecond
-	for name, framing := range map[string]string{
-		"length": fmt.Sprintf("Content-Length: %d", bodyBytes), "chunks": "Transfer-Encoding: chunked",
-	} {
-		t.Run(name, func(t *testing.T) {
+	for _, framing := range agenttest.Framings(bodyBytes) {
+		t.Run(framing.Name, func(t *testing.T) {
 			t.Parallel()
 			l := listenWithReadBuffer(t, 4<<10)
 			go func() {
@@ -66,12 +64,8 @@
 			d := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("s", l.Addr().String(), "Ready", 0)))
 			a := start(t, agenttest.Config(t, d.Listener.Addr().String(), agenttest.Settings))
 			client := a.dial(t)
-			text := a.uploadHead(budget, framing)
-			body := strings.Repeat("x", bodyBytes)
-			if name == "chunks" {
-				body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bodyBytes, body)
-			}
-			if _, err := io.WriteString(client, text+body); err != nil {
+			body := framing.Part(strings.Repeat("x", bodyBytes)) + framing.End
+			if _, err := io.WriteString(client, a.uploadHead(budget, framing)+body); err != nil {
 				t.Fatalf("the client could not write its last byte: %v", err)
 			}
 			lastByte := time.Now()
@@ -97,21 +91,15 @@
 	first, later := strings.Repeat("f", stream.MaxBufferedBytes+1), strings.Repeat("l", partBytes)
 	shortDeadlines := strings.ReplaceAll(agenttest.Settings, `"aim":20000,"deadline":30000`, `"aim":1000,"deadline":1000`)
 	for _, cancel := range []string{"true", "false"} {
-		for _, chunked := range []bool{true, false} {
-			t.Run(fmt.Sprintf("cancel %s, chunked %v", cancel, chunked), func(t *testing.T) {
+		for _, framing := range agenttest.Framings(len(first) + laterParts*partBytes) {
+			t.Run(fmt.Sprintf("cancel %s/%s", cancel, framing.Name), func(t *testing.T) {
 				t.Parallel()
 				server := serveBodies(t)
 				d := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("s", server.addr, "Ready", 0)))
 				settings := strings.Replace(shortDeadlines, `"cancel":true`, `"cancel":`+cancel, 1)
 				a := start(t, agenttest.Config(t, d.Listener.Addr().String(), settings))
 				client := a.dial(t)
-				framing, end := fmt.Sprintf("Content-Length: %d", len(first)+laterParts*partBytes), ""
-				part := func(text string) string { return text }
-				if chunked {
-					framing, end = "Transfer-Encoding: chunked", "0\r\n\r\n"
-					part = func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-				}
-				io.WriteString(client, a.uploadHead(15*time.Second, framing)+part(first))
+				io.WriteString(client, a.uploadHead(15*time.Second, framing)+framing.Part(first))
 				agenttest.Receive(t, "head of the request", server.heads)
 				a.stop()
 				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
@@ -119,9 +107,9 @@
 					t.Fatalf("got response %v, error %v, want status %d", resp, err, protocol.StatusFailed)
 				}
 				for range laterParts {
-					io.WriteString(client, part(later)) // fails once the agent has ended
+					io.WriteString(client, framing.Part(later)) // fails once the agent has ended
 				}
-				io.WriteString(client, end)
+				io.WriteString(client, framing.End)
 				client.Close()
 				if err := agenttest.Receive(t, "end of the body", server.bodies); err == nil {
 					t.Error("the server received a complete request whose client was answered before")
--- a/internal/inbound/upload_test.go
+++ b/internal/inbound/upload_test.go
@@ -82,53 +82,46 @@
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
 	first, later := strings.Repeat("f", stream.MaxBufferedBytes+1), strings.Repeat("l", partBytes)
 	for name, c := range map[string]struct {
-		chunked bool
 		prepare func(*Server)
 		fail    func(*Server)
 	}{
-		"shutdown/chunks":    {true, func(*Server) {}, (*Server).FailOpenRequests},
-		"shutdown/length":    {false, func(*Server) {}, (*Server).FailOpenRequests},
-		"drain limit/chunks": {true, startDrainNearLimit, func(*Server) {}},
-		"drain limit/length": {false, startDrainNearLimit, func(*Server) {}},
+		"shutdown":    {func(*Server) {}, (*Server).FailOpenRequests},
+		"drain limit": {startDrainNearLimit, func(*Server) {}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := startUpload(t, &cfg.Settings)
-			c.prepare(f.Server)
-			framing, end := fmt.Sprintf("Content-Length: %d", len(first)+laterParts*partBytes), ""
-			part := func(text string) string { return text }
-			if c.chunked {
-				framing, end = "Transfer-Encoding: chunked", "0\r\n\r\n"
-				part = func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-			}
-			fmt.Fprintf(f.client, "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\n"+
-				"X-Budget: 15000m\r\n%s\r\n\r\n%s", framing, part(first))
-			received := make([]byte, len(first))
-			if _, err := io.ReadFull(f.upstream, received); err != nil {
-				t.Fatalf("the body does not reach the server: %v", err)
-			}
-			more := make(chan int64, 1)
-			go func() {
-				n, _ := io.Copy(io.Discard, f.upstream)
-				more <- n
-			}()
-			c.fail(f.Server)
-			resp, err := http.ReadResponse(f.responses, nil)
-			if err != nil || resp.StatusCode != protocol.StatusFailed {
-				t.Fatalf("got response %v, error %v, want status %d", resp, err, protocol.StatusFailed)
-			}
-			for range laterParts {
-				if _, err := io.WriteString(f.client, part(later)); err != nil {
-					t.Fatalf("the rest of the body is not discarded: %v", err)
+		for _, framing := range agenttest.Framings(len(first) + laterParts*partBytes) {
+			t.Run(name+"/"+framing.Name, func(t *testing.T) {
+				t.Parallel()
+				f := startUpload(t, &cfg.Settings)
+				c.prepare(f.Server)
+				fmt.Fprintf(f.client, "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\n"+
+					"X-Budget: 15000m\r\n%s\r\n\r\n%s", framing.Header, framing.Part(first))
+				received := make([]byte, len(first))
+				if _, err := io.ReadFull(f.upstream, received); err != nil {
+					t.Fatalf("the body does not reach the server: %v", err)
 				}
-			}
-			_, _ = io.WriteString(f.client, end)
-			err = agenttest.Receive(t, "end of the attempt", f.dispatch.attempts)
-			f.dispatch.server.Close()
-			if n := agenttest.Receive(t, "rest of the body", more); err == nil || n > chunkFraming {
-				t.Errorf("after its client was answered, the server received %d bytes, error %v; want none and an error", n, err)
-			}
-		})
+				more := make(chan int64, 1)
+				go func() {
+					n, _ := io.Copy(io.Discard, f.upstream)
+					more <- n
+				}()
+				c.fail(f.Server)
+				resp, err := http.ReadResponse(f.responses, nil)
+				if err != nil || resp.StatusCode != protocol.StatusFailed {
+					t.Fatalf("got response %v, error %v, want status %d", resp, err, protocol.StatusFailed)
+				}
+				for range laterParts {
+					if _, err := io.WriteString(f.client, framing.Part(later)); err != nil {
+						t.Fatalf("the rest of the body is not discarded: %v", err)
+					}
+				}
+				_, _ = io.WriteString(f.client, framing.End)
+				err = agenttest.Receive(t, "end of the attempt", f.dispatch.attempts)
+				f.dispatch.server.Close()
+				if n := agenttest.Receive(t, "rest of the body", more); err == nil || n > chunkFraming {
+					t.Errorf("after its client was answered, the server received %d bytes, error %v; want none and an error", n, err)
+				}
+			})
+		}
 	}
 }
 
