Withhold the last chunk of a body that is revoked while its last part is written

Cause: if the end of a chunked body is read together with its last part, the attempt wrote the last chunk without another look at whether the request had been answered meanwhile. The body was complete, so no rule was broken, but the server ran a request that had been answered as failed.

Change: SendTo looks once more after each part.

Evidence: TestRevokedBodyGetsNoLastChunk fails before (no error, and the last chunk received), 20 runs pass after.

--- a/internal/inbound/response.go
+++ b/internal/inbound/response.go
@@ -18,7 +18,8 @@
 	h.writeResponse(w, dispatch.Response{Status: bad.status, ContentType: "text/plain", Body: []byte(bad.reason + "\n")})
 }
 
-// respond writes a buffered response to a request and counts it. From then on no server gets any more of the request.
+// respond writes a buffered response to a request and counts it. From then on nothing more of the request's body is read
+// for a server.
 func (h *clientHandler) respond(x *exchange, response dispatch.Response) {
 	upload := x.upload()
 	if upload != nil {
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -29,7 +29,7 @@
 	buffers     *Buffers
 	buffer      []byte
 	complete    atomic.Bool // the body has been read completely
-	revoked     atomic.Bool // the request has ended: nothing more of the body is sent
+	revoked     atomic.Bool // the request has ended: nothing more of the body is read for a server
 
 	mu      sync.Mutex
 	source  io.Reader // nil once the request has ended
@@ -179,6 +179,9 @@
 		if werr := out.write(u.buffer[:n], u.Deadline()); werr != nil {
 			return werr
 		}
+		if u.revoked.Load() { // while the part was written
+			return fmt.Errorf("%w: %w", ErrBodyIncomplete, ErrClosed)
+		}
 		if err == io.EOF { //nolint:errorlint // a wrapped io.EOF means a truncated body
 			return out.close(u.Deadline())
 		}
--- a/internal/stream/upload_test.go
+++ b/internal/stream/upload_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 )
@@ -169,3 +171,29 @@
 	}
 	return received
 }
+
+// A body that is revoked while its last part is being written must not get its last chunk, which would make the server
+// run a request that has been answered as failed.
+func TestRevokedBodyGetsNoLastChunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const text = "the last part"
+		// The end of the body is read together with the last part.
+		upload := NewUpload(-1, nil, iotest.DataErrReader(strings.NewReader(text)), &scriptedClient{})
+		upload.Budget = time.Minute
+		if !upload.Reserve(NewBuffers(0)) || !upload.Claim() {
+			t.Fatal("the upload has no buffer or is claimed")
+		}
+		conn, server := net.Pipe()
+		sent := make(chan error, 1)
+		go func() {
+			sent <- upload.SendTo(conn)
+			conn.Close()
+		}()
+		synctest.Wait() // the part is being written
+		upload.Revoke()
+		received, _ := io.ReadAll(server)
+		if err := <-sent; !errors.Is(err, ErrBodyIncomplete) || bytes.Contains(received, []byte("\r\n0\r\n")) {
+			t.Errorf("got error %v after %q was received, want %v and no last chunk", err, received, ErrBodyIncomplete)
+		}
+	})
+}
