Name the source of a list alike in discovery and relay, and test its change in each half

Taking out the removal of the old list from changeSource was missed by TestInterruptedChangeOfSource, which removed the list by itself. Its cases are now the states that a crash can leave; the change is caught.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -17,7 +17,7 @@
 	PollLatency         time.Duration // estimated time that the service takes for one poll; 0 if unknown
 	PollElapsed         time.Duration // duration of the failed poll if it counts towards the wait for the next, else 0
 	Revision            uint64        // of the list, or of the last change; 0 if the list must be polled again
-	Service             string        // address of the service that numbers the list's revisions; empty for a failure
+	Source              string        // address of the service whose list it is, also if a relay sent it; empty for a failure
 }
 
 // Event converts the watch event to an input of the balancer. The endpoints are the members with the IDs that the owner
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -123,9 +123,9 @@
 	}
 	switch {
 	case list.Complete:
-		c.notify(WatchEvent{Update: balancer.EndpointsReplaced, Members: list.Members, Revision: *list.Revision, Service: c.target.Addr})
+		c.notify(WatchEvent{Update: balancer.EndpointsReplaced, Members: list.Members, Revision: *list.Revision, Source: c.target.Addr})
 	case len(list.Members) > 0 || first:
-		c.notify(WatchEvent{Update: balancer.EndpointsChanged, Members: list.Members, Revision: *list.Revision, Service: c.target.Addr})
+		c.notify(WatchEvent{Update: balancer.EndpointsChanged, Members: list.Members, Revision: *list.Revision, Source: c.target.Addr})
 	}
 }
 
--- a/internal/relay/disk.go
+++ b/internal/relay/disk.go
@@ -40,8 +40,8 @@
 // time.
 type listFile struct{ dir string }
 
-// loadFrom is load for a list of the given service. If the list is from another one, the error wraps errOtherSource.
-// Earlier releases did not store the source; their lists are taken to be from the given service.
+// loadFrom loads the stored list if it is from the given service, and otherwise returns an error that wraps errOtherSource.
+// Earlier releases did not store the source: their lists count as lists of the given service.
 func (f listFile) loadFrom(source string) (discovery.EndpointList, error) {
 	stored, err := f.source()
 	switch {
@@ -54,8 +54,8 @@
 	return f.load()
 }
 
-// saveFrom is save for a list of the given service. A list of another service is removed before the source changes, so
-// that after a crash at any moment the source is that of the list, or there is no list.
+// saveFrom stores the text of a full list from the given service. It is crash-safe: a list of another service is removed
+// before the source changes, so the stored source is always that of the stored list.
 func (f listFile) saveFrom(source string, text []byte) error {
 	if stored, err := f.source(); err != nil || stored != source {
 		if err := f.changeSource(source); err != nil {
@@ -109,7 +109,7 @@
 	return nil
 }
 
-// replaceFile replaces a file of the directory in one step, by way of a temporary one, and syncs it to disk.
+// replaceFile atomically replaces a file of the directory and syncs it to disk.
 func (f listFile) replaceFile(tempName, name string, data []byte) error {
 	temp := filepath.Join(f.dir, tempName)
 	if err := writeSynced(temp, data); err != nil {
--- a/internal/relay/disk_test.go
+++ b/internal/relay/disk_test.go
@@ -104,39 +104,57 @@
 }
 
 // After a crash while the list of another service is being stored, no list may be loaded for a service that it is not
-// from, and the list must still be loaded if the crash came before it was replaced.
+// from, and the list must still be loaded if the crash came before it was removed.
 func TestInterruptedChangeOfSource(t *testing.T) {
 	const old, next = "10.0.0.1:80", "10.0.0.2:80"
 	text := func(revision uint64) []byte {
 		return lists.Encode(revision, true, []discovery.Member{member("x", "Ready", 0)})
 	}
-	steps := []func(listFile) error{
-		func(f listFile) error {
-			return os.WriteFile(filepath.Join(f.dir, tempSourceName), []byte(next[:3]), 0o600)
-		},
-		func(f listFile) error { return os.Remove(filepath.Join(f.dir, listFileName)) },
-		func(f listFile) error { return f.changeSource(next) },
-		func(f listFile) error { return f.saveFrom(next, text(2)) },
-	}
-	want := [][2]uint64{{1, 0}, {0, 0}, {0, 0}, {0, 2}} // revisions for old and next after each step; 0: no list
-	f := listFile{dir: t.TempDir()}
-	if err := f.saveFrom(old, text(1)); err != nil {
-		t.Fatal(err)
-	}
-	for i, step := range steps {
-		if err := step(f); err != nil {
+	for name, c := range map[string]struct {
+		interrupted func(listFile) error
+		old, next   uint64 // the revisions that are loaded for each service; 0: no list
+	}{
+		"nothing done":       {func(listFile) error { return nil }, 1, 0},
+		"list removed":       {changeSourceHalfway, 0, 0},
+		"source changed":     {func(f listFile) error { return f.changeSource(next) }, 0, 0},
+		"stored completely":  {func(f listFile) error { return f.saveFrom(next, text(2)) }, 0, 2},
+		"stored for the old": {func(f listFile) error { return f.saveFrom(old, text(3)) }, 3, 0},
+	} {
+		f := listFile{dir: t.TempDir()}
+		if err := f.saveFrom(old, text(1)); err != nil {
 			t.Fatal(err)
 		}
-		for j, source := range []string{old, next} {
-			var got uint64
-			if l, err := f.loadFrom(source); err == nil {
-				got = *l.Revision
-			}
-			if got != want[i][j] {
-				t.Errorf("after step %d, list for %s: got revision %d, want %d", i, source, got, want[i][j])
-			}
+		if err := c.interrupted(f); err != nil {
+			t.Fatalf("%s: %v", name, err)
 		}
+		if got := loadedRevision(f, old); got != c.old {
+			t.Errorf("%s: got revision %d for the old service, want %d", name, got, c.old)
+		}
+		if got := loadedRevision(f, next); got != c.next {
+			t.Errorf("%s: got revision %d for the new service, want %d", name, got, c.next)
+		}
+	}
+}
+
+// changeSourceHalfway changes the source, but a directory in place of the temporary file lets the second step fail.
+func changeSourceHalfway(f listFile) error {
+	temp := filepath.Join(f.dir, tempSourceName)
+	if err := os.Mkdir(temp, 0o700); err != nil {
+		return err
+	}
+	if err := f.changeSource("10.0.0.2:80"); err == nil {
+		return errors.New("the source was changed in spite of the directory")
+	}
+	return os.Remove(temp)
+}
+
+// loadedRevision returns the revision of the list that is loaded for a service, or 0 if there is none.
+func loadedRevision(f listFile, source string) uint64 {
+	l, err := f.loadFrom(source)
+	if err != nil {
+		return 0
 	}
+	return *l.Revision
 }
 
 // A list that an earlier release has stored, without its source, must still be loaded.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -275,7 +275,7 @@
 }
 
 // A relay that restarts with another discovery address must not continue from the list that it stored: the revisions of
-// the new service are unrelated. Once it mixed both lists, and its agents sent to servers that had been drained.
+// the new service are unrelated. It once mixed both lists, and its agents sent to servers that had been drained.
 func TestRestartAtOtherUpstream(t *testing.T) {
 	for _, revision := range []uint64{3, 7, 100} {
 		for _, moved := range []bool{false, true} { // by Migrate, before the restart
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -22,12 +22,12 @@
 // replace applies a full list to the store. If its revision follows the current one, replace applies the differences as
 // changes, so that hundreds of callers do not need the full list again. Revisions of another service are unrelated.
 func (r *Relay) replace(event discovery.WatchEvent) {
-	if r.listSource() == event.Service && event.Revision > r.store.Revision() {
+	if r.listSource() == event.Source && event.Revision > r.store.Revision() {
 		r.apply(event.Revision, difference(r.store.Members(), event.Members))
 		return
 	}
 	r.reportUpdate(event.Revision, len(event.Members))
-	r.resetStore(event.Service, event.Revision, event.Members)
+	r.resetStore(event.Source, event.Revision, event.Members)
 }
 
 // listSource returns the address of the service whose list is in the store, or an empty string if there is no list.
