--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -60,6 +60,8 @@
 // crosses a request on a kept connection, it sends the request once more on a new one.
 type Client struct {
 	Addr string
+	// Patience is how long a client waits for the rest of an answer that has begun; 0: half a second beyond its budget.
+	Patience time.Duration
 
 	mu   sync.Mutex
 	idle []*clientConn
@@ -102,7 +104,7 @@
 func (c *Client) exchange(conn *clientConn, call *Call) Answer {
 	start := time.Now()
 	_ = conn.SetDeadline(start.Add(call.Budget + 500*time.Millisecond)) // fails only on a closed connection
-	answer := exchangeOn(conn, call)
+	answer := c.exchangeOn(conn, call)
 	answer.Took = time.Since(start)
 	if answer.Err != nil || answer.Status < 0 {
 		conn.Close()
@@ -116,7 +118,7 @@
 }
 
 // exchangeOn returns the negative status if the connection is to close.
-func exchangeOn(conn *clientConn, call *Call) Answer {
+func (c *Client) exchangeOn(conn *clientConn, call *Call) Answer {
 	if _, err := conn.Write(call.Bytes()); err != nil {
 		return Answer{Err: fmt.Errorf("%w: %w", ErrUnread, err)}
 	}
@@ -127,6 +129,9 @@
 		}
 		return Answer{Err: fmt.Errorf("%w: %w", ErrUnread, err)}
 	}
+	if c.Patience > 0 {
+		_ = conn.SetDeadline(time.Now().Add(c.Patience)) // fails only on a closed connection
+	}
 	return ReadAnswer(conn.in)
 }
 
@@ -138,7 +143,7 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return Answer{Status: response.StatusCode, Err: err}
+		return Answer{Status: response.StatusCode, Body: body, Err: err}
 	}
 	if response.Close {
 		return Answer{Status: -response.StatusCode, Body: body}
