--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -13,6 +13,7 @@
 // Request is a request that has reached a counter server whole.
 type Request struct {
 	Method, ID, Key, Path string
+	Budget                string // as told
 	Body                  []byte
 	Arrived               time.Time // of its last byte
 }
@@ -62,7 +63,7 @@
 		s.Count.Add(1)
 		request := Request{
 			Method: r.Method, ID: r.Header.Get("X-Call-Id"), Key: r.Header.Get("Idempotency-Key"), Path: r.RequestURI,
-			Body: body, Arrived: time.Now(),
+			Budget: r.Header.Get("X-Budget"), Body: body, Arrived: time.Now(),
 		}
 		if !s.Handle(request, conn) {
 			return
