--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -131,7 +131,6 @@
 type Agent struct {
 	*Process
 	Listen     string
-	Console    string
 	ConfigPath string
 }
 
@@ -141,6 +140,7 @@
 	Listen    string // empty: a free address
 	Discovery string
 	Relays    []string
+	Console   string // empty: none
 	MemoryMB  int
 	Sockets   int
 	Known     string // a list in discovery's form
@@ -158,6 +158,9 @@
 	if c.Relays != nil {
 		document["relays"] = c.Relays
 	}
+	if c.Console != "" {
+		document["console"] = c.Console
+	}
 	return json.MarshalIndent(document, "", " ")
 }
 
