--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,4 +1,5 @@
-// Command case-7 checks that clients get the whole of a long answer from a counter server that takes seconds to write it.
+// Command case-7 checks that an agent stays under its memory limit while clients send bodies, and counter servers send
+// answers, of the 64 KiB that the protocol allows.
 package main
 
 import (
@@ -7,55 +8,67 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	s "example.org/ryeloft/review/standin2"
 )
 
 const (
-	servers    = 3
-	pieces     = 4
-	pieceBytes = 50_000 // together 200,000: over 64 KiB
-	longPause  = 4 * time.Second
-	shortPause = 500 * time.Millisecond
-	requests   = 12
-	budget     = 3 * time.Second
-	// patience is how long a client waits for the rest of an answer that has begun.
-	patience = 30 * time.Second
+	memoryMB    = 32   // the least of the terms
+	sockets     = 1024 // the most of the terms
+	connections = 300  // under a third of the sockets
+	servers     = 16
+	longBytes   = 64 << 10 // the longest body of the protocol page
+	shortBytes  = 212      // the body of the protocol page's example
+	serviceTime = 300 * time.Millisecond
+	duration    = 25 * time.Second
+	budget      = 6 * time.Second
 )
 
 func main() { s.Main(run) }
 
-// serve writes an answer in pieces, with a pause before each but the first.
-func serve(record *s.Record, name string, pause time.Duration, r s.Request, conn net.Conn) bool {
-	record.Line("%s runs %s", name, r.ID)
-	time.Sleep(20 * time.Millisecond)
-	piece := bytes.Repeat([]byte{r.ID[0]}, pieceBytes)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Load-Report: queue=0,latency_ms=20\r\n\r\n", pieces*pieceBytes)
-	text := append([]byte(head), piece...)
-	for i := range pieces {
-		if i > 0 {
-			time.Sleep(pause)
-			text = piece
+// killOverLimit does what the platform does to an agent over its memory limit. Of the agent's memory it counts only the
+// anonymous part, not the pages of the program file.
+func killOverLimit(agent *s.Agent, record *s.Record, done <-chan struct{}) (mostKB int, killed bool) {
+	for {
+		select {
+		case <-done:
+			return mostKB, false
+		case <-time.After(10 * time.Millisecond):
 		}
-		if _, err := conn.Write(text); err != nil {
-			record.Line("%s cannot write piece %d of the answer to %s: %v", name, i+1, r.ID, err)
-			return false
+		kB, err := agent.Status("RssAnon")
+		if err != nil {
+			return mostKB, false
+		}
+		if kB > mostKB {
+			mostKB = kB
+			record.Line("agent uses %d kB", kB)
+		}
+		if kB > memoryMB*1024 {
+			all, _ := agent.Status("VmRSS") // for the record only
+			record.Say("platform kills the agent: %d kB of anonymous memory (%d kB in all) of %d kB", kB, all, memoryMB*1024)
+			_ = agent.Signal(syscall.SIGKILL) // fails if it has ended
+			return mostKB, true
 		}
-		record.Line("%s has written piece %d of the answer to %s", name, i+1, r.ID)
 	}
-	return true
 }
 
 func run(root, dir string, record *s.Record) int {
-	pause := shortPause
+	size := shortBytes
 	if s.Trouble() {
-		pause = longPause
+		size = longBytes
 	}
+	answer := s.OK(bytes.Repeat([]byte("a"), size))
 	var members []s.Member
 	for i := range servers {
 		name := fmt.Sprintf("s-%d", i+1)
-		server, err := s.NewServer(name, func(r s.Request, conn net.Conn) bool { return serve(record, name, pause, r, conn) })
+		server, err := s.NewServer(name, func(r s.Request, conn net.Conn) bool {
+			record.Line("%s ran %s, a body of %d bytes", name, r.ID, len(r.Body))
+			time.Sleep(serviceTime)
+			_, err := conn.Write(answer)
+			return err == nil
+		})
 		if err != nil {
 			record.Say("cannot run: %v", err)
 			return s.Unable
@@ -68,41 +81,56 @@
 		return s.Unable
 	}
 	agent, err := s.StartAgent(root, dir, s.AgentConfig{
-		Name: "n1", Discovery: discovery.Addr, MemoryMB: 64, Sockets: 384, Known: discovery.List(),
-		Settings: s.Settings(s.Class("plant-lookup", "pure", 2500, 6000), s.Class("card-sale", "side_effect", 2500, 6000)),
+		Name: "n1", Discovery: discovery.Addr, MemoryMB: memoryMB, Sockets: sockets, Known: discovery.List(),
+		Settings: s.Settings(s.Class("stock-hold", "token", 2500, 6000)),
 	})
 	if err != nil {
 		record.Say("cannot run: %v", err)
 		return s.Unable
 	}
-	client := &s.Client{Addr: agent.Listen, Patience: patience}
+	done := make(chan struct{})
+	var mostKB int
+	var killed bool
+	var platform sync.WaitGroup
+	platform.Go(func() { mostKB, killed = killOverLimit(agent, record, done) })
+	body := bytes.Repeat([]byte("b"), size)
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	results := map[string]int{}
-	cut := 0
-	for i := range requests {
-		time.Sleep(200 * time.Millisecond)
+	end := time.Now().Add(duration)
+	for range connections {
+		client := &s.Client{Addr: agent.Listen} // one connection
 		clients.Go(func() {
-			call := &s.Call{Class: "plant-lookup", Method: http.MethodGet, ID: s.NewID(), Budget: budget}
-			if i%2 == 1 {
-				call = &s.Call{Class: "card-sale", Method: http.MethodPost, ID: s.NewID(), Budget: budget, Body: []byte("item=1")}
-			}
-			record.Line("client sends %s %s", call.ID, call.Class)
-			answer := client.Do(call)
-			result := fmt.Sprintf("%d, whole %v", answer.Status, answer.Err == nil)
-			record.Line("client got for %s after %v: %s, %d bytes, %v", call.ID, answer.Took, result, len(answer.Body), answer.Err)
-			mu.Lock()
-			defer mu.Unlock()
-			results[call.Class+" "+result]++
-			if answer.Status == http.StatusOK && answer.Err != nil {
-				cut++
+			for time.Now().Before(end) && agent.Running() {
+				call := &s.Call{
+					Class: "stock-hold", Method: http.MethodPost, ID: s.NewID(), Key: s.NewID(), Budget: budget, Body: body,
+				}
+				record.Line("client sends %s, a body of %d bytes", call.ID, len(body))
+				got := client.Do(call)
+				result := fmt.Sprint(got.Status)
+				if got.Err != nil {
+					result = "no answer"
+				}
+				record.Line("client got for %s: %s %v", call.ID, result, got.Err)
+				mu.Lock()
+				results[result]++
+				mu.Unlock()
+				if got.Status != http.StatusOK {
+					time.Sleep(200 * time.Millisecond)
+				}
 			}
 		})
 	}
 	clients.Wait()
-	record.Say("answers: %v", results)
-	record.Say("answers 200 that were cut off while their counter server still gave them: %d", cut)
-	if cut > 0 {
+	close(done)
+	platform.Wait()
+	record.Say("answers by status: %v", results)
+	record.Say("most anonymous memory: %d kB of %d kB", mostKB, memoryMB*1024)
+	if killed {
+		return s.Broken
+	}
+	if !agent.Running() {
+		record.Say("the agent ended: %s", agent.State())
 		return s.Broken
 	}
 	return s.Held
--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -1,6 +1,7 @@
 package standin2
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,12 +14,13 @@
 // Member is an entry of the list.
 type Member struct {
 	ID, Addr, Phase string
+	Zone            string // empty: a
 	UpSince         int64
 }
 
 func (m Member) text() string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"m1","cell":0,"phase":%q,"size":1.0,"up_since_ms":%d}`,
-		m.ID, m.Addr, m.Phase, m.UpSince)
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"m1","cell":0,"phase":%q,"size":1.0,"up_since_ms":%d}`,
+		m.ID, m.Addr, cmp.Or(m.Zone, "a"), m.Phase, m.UpSince)
 }
 
 func listText(revision int, complete bool, members []Member) string {
