--- a/review/10/main.go
+++ b/review/10/main.go
@@ -118,7 +118,7 @@
 }
 
 // traffic sends requests to the agent until the context ends, and returns the answers by status.
-func traffic(ctx context.Context, agent *s.Agent) map[string]int {
+func traffic(ctx context.Context, agent *s.Agent, record *s.Record) map[string]int {
 	client := &s.Client{Addr: agent.Listen}
 	results := map[string]int{}
 	for {
@@ -127,7 +127,9 @@
 			return results
 		case <-time.After(time.Duration(10+rand.IntN(30)) * time.Millisecond):
 		}
-		answer := client.Do(&s.Call{Class: "plant-lookup", Method: http.MethodGet, ID: s.NewID(), Budget: 3 * time.Second})
+		call := &s.Call{Class: "plant-lookup", Method: http.MethodGet, ID: s.NewID(), Budget: 3 * time.Second}
+		answer := client.Do(call)
+		record.Line("client sent %s, got %d %v", call.ID, answer.Status, answer.Err)
 		results[fmt.Sprintf("%d, whole %v", answer.Status, answer.Err == nil)]++
 	}
 }
@@ -184,7 +186,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	results := make(chan map[string]int)
-	go func() { results <- traffic(ctx, agent) }()
+	go func() { results <- traffic(ctx, agent, record) }()
 	status := moveAndDrain(agent, config, next.addr, list, members[0], j)
 	stop()
 	record.Say("answers by status: %v", <-results)
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -127,6 +127,7 @@
 				call := &s.Call{
 					Class: "stock-hold", Method: http.MethodPost, ID: s.NewID(), Key: s.NewID(), Budget: 3 * time.Second, Body: []byte("item=1"),
 				}
+				record.Line("client sends %s with key %s", call.ID, call.Key)
 				answer := client.Do(call)
 				record.Line("client got for %s with key %s: %d %v", call.ID, call.Key, answer.Status, answer.Err)
 				mu.Lock()
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -144,8 +144,6 @@
 	Name      string
 	Listen    string // empty: a free address
 	Discovery string
-	Relays    []string
-	Console   string // empty: none
 	MemoryMB  int
 	Sockets   int
 	Known     string // a list in discovery's form
@@ -160,12 +158,6 @@
 		"known":    json.RawMessage(c.Known),
 		"settings": c.Settings,
 	}
-	if c.Relays != nil {
-		document["relays"] = c.Relays
-	}
-	if c.Console != "" {
-		document["console"] = c.Console
-	}
 	return json.MarshalIndent(document, "", " ")
 }
 
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -13,7 +13,6 @@
 // Request is a request that has reached a counter server whole.
 type Request struct {
 	Method, ID, Key, Path string
-	Budget                string // as told
 	Body                  []byte
 	Arrived               time.Time // of its last byte
 }
@@ -63,7 +62,7 @@
 		s.Count.Add(1)
 		request := Request{
 			Method: r.Method, ID: r.Header.Get("X-Call-Id"), Key: r.Header.Get("Idempotency-Key"), Path: r.RequestURI,
-			Budget: r.Header.Get("X-Budget"), Body: body, Arrived: time.Now(),
+			Body: body, Arrived: time.Now(),
 		}
 		if !s.Handle(request, conn) {
 			return
