Scale: give the same worlds and fits on arm64 as on x86-64

On arm64 a product and a sum are fused, which rounds once instead of twice, so a generated world had other digits: TestGeneratedWorldIsStable failed. Fits now have rounding errors removed and ten significant digits.

The comparison is as exact as before.

--- a/internal/scale/sweep/fit.go
+++ b/internal/scale/sweep/fit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 
 	"gonum.org/v1/gonum/mat"
 	"gonum.org/v1/gonum/stat"
@@ -20,8 +21,15 @@
 }
 
 // fitGrowth fits the line, the parabola and the power law. xs and ys must have the same length of at least three, and
-// xs must contain at least two different sizes.
+// xs must contain at least two different sizes. Rounding errors are removed from the result, since they differ between
+// kinds of machines.
 func fitGrowth(xs, ys []float64) Fit {
+	f := fitExactly(xs, ys)
+	f.removeRoundingErrors(rangeOf(xs), largestOf(ys))
+	return f
+}
+
+func fitExactly(xs, ys []float64) Fit {
 	var f Fit
 	f.Intercept, f.Slope = stat.LinearRegression(xs, ys, nil, false)
 	f.Residual = rootMeanSquare(xs, ys, func(x float64) float64 { return f.Intercept + f.Slope*x })
@@ -35,6 +43,39 @@
 	return f
 }
 
+// removeRoundingErrors sets to 0 what is negligible beside the largest value, and rounds the rest. width is the range of
+// the sizes.
+func (f *Fit) removeRoundingErrors(width, largest float64) {
+	negligible := largest * maxRoundingError
+	if math.Abs(f.Slope)*width < negligible {
+		f.Slope = 0
+	}
+	if f.ChordDeviation < negligible {
+		f.Quadratic = 0
+	}
+	if math.Abs(f.Exponent) < maxRoundingError {
+		f.Exponent = 0
+	}
+	for _, v := range []*float64{&f.Intercept, &f.Residual, &f.ChordDeviation, &f.ParabolaResidual} {
+		if math.Abs(*v) < negligible {
+			*v = 0
+		}
+	}
+	for _, v := range []*float64{&f.Intercept, &f.Slope, &f.Residual, &f.Quadratic, &f.ChordDeviation, &f.ParabolaResidual, &f.Exponent, &f.AtOne} {
+		*v = roundDigits(*v)
+	}
+}
+
+// maxRoundingError is the largest part of a value that can be a rounding error.
+const maxRoundingError = 1e-10
+
+// roundDigits rounds a value to ten significant digits.
+func roundDigits(v float64) float64 {
+	// The text is always a number, or one of the words for infinity and NaN.
+	rounded, _ := strconv.ParseFloat(strconv.FormatFloat(v, 'e', 9, 64), 64)
+	return rounded
+}
+
 // predict returns the line's value at a size. Metrics are never negative: if a falling line is not positive at the
 // size, as for a fixed cost shared by a growing number of agents, predict returns the power law's value instead.
 func (f Fit) predict(x float64) float64 {
@@ -61,10 +102,7 @@
 	if len(xs) < 3 {
 		return 0, 0, 0, false
 	}
-	scale := 0.0
-	for _, x := range xs {
-		scale = max(scale, math.Abs(x))
-	}
+	scale := largestOf(xs)
 	if scale == 0 {
 		return 0, 0, 0, false
 	}
@@ -94,6 +132,15 @@
 	return math.Exp(logAtOne), exponent
 }
 
+// largestOf returns the largest absolute value.
+func largestOf(vs []float64) float64 {
+	largest := 0.0
+	for _, v := range vs {
+		largest = max(largest, math.Abs(v))
+	}
+	return largest
+}
+
 // rangeOf returns the difference between the largest and the smallest value.
 func rangeOf(xs []float64) float64 {
 	smallest := math.Inf(1)
@@ -111,10 +158,7 @@
 // isKinked reports whether the parabola fits clearly better than the line: it deviates from its chord by more than
 // minKinkShare and by more than noiseFactor times the noise, and its residual is less than half the line's.
 func (f Fit) isKinked(ys []float64, noise float64) bool {
-	largest := 0.0
-	for _, y := range ys {
-		largest = max(largest, math.Abs(y))
-	}
+	largest := largestOf(ys)
 	significant := f.ChordDeviation > minKinkShare*largest && f.ChordDeviation > noiseFactor*noise
 	return significant && f.ParabolaResidual < f.Residual/2
 }
--- a/internal/scale/sweep/growth.go
+++ b/internal/scale/sweep/growth.go
@@ -134,9 +134,9 @@
 // predict returns the expected value of the metric at a size.
 func (g *Growth) predict(size float64) float64 {
 	if g.Flat {
-		return stat.Mean(g.Values, nil)
+		return roundDigits(stat.Mean(g.Values, nil))
 	}
-	return g.Fit.predict(size)
+	return roundDigits(g.Fit.predict(size))
 }
 
 // meansBySize returns the mean value at each size.
@@ -148,7 +148,7 @@
 		runs[size]++
 	}
 	for size := range means {
-		means[size] /= runs[size]
+		means[size] = roundDigits(means[size] / runs[size])
 	}
 	return means
 }
--- a/internal/scale/world/agentconfig.go
+++ b/internal/scale/world/agentconfig.go
@@ -153,7 +153,7 @@
 		c.Idempotency = scenario.Idempotent
 		c.DedupWindow = 0
 	}
-	c.Deadline = math.Round(c.Deadline*1000+float64(revision)) / 1000
+	c.Deadline = math.Round(float64(c.Deadline*1000)+float64(revision)) / 1000
 	return c
 }
 
--- a/internal/scale/world/callgraph.go
+++ b/internal/scale/world/callgraph.go
@@ -44,7 +44,7 @@
 			leftJ = len(w.Services[called[j]].Servers) * callerServers
 		}
 		overlap := min(leftI, leftJ)
-		flow[edge{callers[i], called[j]}] += float64(overlap) / length / 2
+		flow[edge{callers[i], called[j]}] += float64(float64(overlap) / length / 2)
 		leftI -= overlap
 		leftJ -= overlap
 		if leftI == 0 {
--- a/internal/scale/world/load.go
+++ b/internal/scale/world/load.go
@@ -23,7 +23,7 @@
 	weighted := 0.0
 	for i := range works {
 		works[i] = 0.5 + rng.Float64()
-		weighted += works[i] * rates[i]
+		weighted += float64(works[i] * rates[i])
 	}
 	for i := range works {
 		ms := works[i] * f.ServiceMS * total / weighted
@@ -60,7 +60,7 @@
 			callingRequests[i] = rates[i] * w.callingShare(i)
 		}
 		for _, c := range s.Calls {
-			rates[c.Service] += callingRequests[i] * c.Chance
+			rates[c.Service] += float64(callingRequests[i] * c.Chance)
 		}
 	}
 	return rates
--- a/internal/scale/world/services.go
+++ b/internal/scale/world/services.go
@@ -69,7 +69,7 @@
 	for _, i := range order {
 		for left < 0.5 && class < len(classes)-1 {
 			class++
-			left += classes[class].Share * float64(len(order))
+			left += float64(classes[class].Share * float64(len(order)))
 		}
 		w.Services[i].Class = class
 		left--
