Rest a connection to a server for 25 ms before it is reused

A server may send a second response some milliseconds late. Nothing on the wire tells the two apart, so the connection is not reused until the second response would have come; the check of the socket that precedes each reuse then closes it. In the meantime another idle connection is used or a new one opened.

Reused connections are now idle for 25 ms at least, so the idle age bucket that counts as no idle time is theirs; else servers that reset one request in five would have all connections opened anew.

--- a/internal/agent/reuse_test.go
+++ b/internal/agent/reuse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"example.org/ryeloft/internal/agenttest"
 )
@@ -25,6 +26,7 @@
 	a := startWith(t, agenttest.Settings, b)
 	for range 5 {
 		a.do(t, a.request("unsafe", "15000m"))
+		time.Sleep(100 * time.Millisecond) // a connection is not reused right after a response
 	}
 	if n := len(b.Accepted); n != 1 {
 		t.Errorf("got %d connections for sequential requests, want 1", n)
--- a/internal/upstream/idleage.go
+++ b/internal/upstream/idleage.go
@@ -42,8 +42,9 @@
 
 // allows reports whether a connection of the given idle age may be reused: no bucket up to its own is bad.
 func (a *idleAgeStats) allows(age time.Duration) bool {
-	// The first bucket is skipped: a request that fails without idle time would also fail on a new connection.
-	for bucket := 1; bucket <= idleBucket(age); bucket++ {
+	// The bucket of connections that have just rested is skipped: a request that fails on one of these would also fail
+	// on a new connection.
+	for bucket := idleBucket(restAfterResponse) + 1; bucket <= idleBucket(age); bucket++ {
 		if a.lost[bucket] >= minLostRequests && a.lost[bucket] > maxLossRate*a.used[bucket] {
 			return false
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,6 +22,11 @@
 // server may close it. A request that crosses the close ends in a reset and may have run.
 const idleMargin = 500 * time.Millisecond
 
+// restAfterResponse is how long a connection is not reused after a response. A server may send a second response some
+// milliseconds late; stale detects it before the connection is reused, but nothing tells it apart from the response to
+// a request that has been written already.
+const restAfterResponse = 25 * time.Millisecond
+
 var (
 	errSocketLimit    = errors.New("server connection limit reached")
 	errServerDraining = errors.New("server is draining")
@@ -128,7 +133,7 @@
 	p.closeIdle(e)
 }
 
-// get returns a connection to an endpoint: the most recently used idle one, or a new one.
+// get returns a connection to an endpoint: the most recently used idle one that has rested, or a new one.
 func (p *Pool) get(ctx context.Context, e *Endpoint) (*conn, error) {
 	for {
 		c := p.takeIdle(e)
@@ -146,14 +151,13 @@
 func (p *Pool) takeIdle(e *Endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(e.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(e.idle) {
+		if time.Since(c.idleSince) >= restAfterResponse {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return c
+		}
 	}
-	last := len(e.idle) - 1
-	c := e.idle[last]
-	e.idle[last] = nil
-	e.idle = e.idle[:last]
-	return c
+	return nil
 }
 
 // expired reports whether a connection has been idle for too long to be reused. The caller holds the mutex.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,14 +151,23 @@
 	}
 }
 
-// The pool reuses the most recently used connection first, which the server is least likely to have closed.
+// The pool reuses the most recently used connection first, which the server is least likely to have closed, but not right
+// after its response.
 func TestMostRecentlyUsedFirst(t *testing.T) {
 	p := NewPool(&agenttest.Config(t, "127.0.0.1:1", agenttest.Settings).Settings, 4, &metrics.Metrics{})
 	x := p.AddEndpoint("x", 0)
 	older, newer := &conn{endpoint: x}, &conn{endpoint: x}
+	resting := &conn{endpoint: x}
 	p.put(older)
 	p.put(newer)
+	for _, c := range x.idle {
+		c.idleSince = c.idleSince.Add(-restAfterResponse)
+	}
+	p.put(resting)
 	if p.takeIdle(x) != newer || p.takeIdle(x) != older || p.takeIdle(x) != nil {
 		t.Error("connections were not taken in the order of last use, most recent first")
 	}
+	if !slices.Equal(x.idle, []*conn{resting}) {
+		t.Error("a connection that has just been used is not idle any more")
+	}
 }
