Answer OPTIONS * like any other request, not by net/http with 200

TestOptionsForNoPathIsBadRequest fails on the program before, with status 200 and an open connection.

--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -68,6 +69,38 @@
 	}
 }
 
+// Guards against net/http answering OPTIONS * with status 200 by itself, without a server and without the checks of a
+// request. In a drain it also left the connection open.
+func TestOptionsForNoPathIsBadRequest(t *testing.T) {
+	b := agenttest.NewServer(t, agenttest.Serve)
+	a := startWith(t, agenttest.Settings, b)
+	for name, headers := range map[string]http.Header{"bare": {}, "like a request": a.request("safe", "15000m").Header} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		var text strings.Builder
+		text.WriteString("OPTIONS * HTTP/1.1\r\nHost: x\r\n")
+		_ = headers.Write(&text) // writes to a strings.Builder never fail
+		text.WriteString("\r\n")
+		if _, err := io.WriteString(c, text.String()); err != nil {
+			t.Fatal(err)
+		}
+		c.SetReadDeadline(time.Now().Add(agenttest.Timeout))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode/100 != 4 || !resp.Close {
+			t.Errorf("%s: got status %d, connection closes %v, want 4xx and a close", name, resp.StatusCode, resp.Close)
+		}
+	}
+	if len(b.Requests) > 0 {
+		t.Errorf("%d requests were forwarded, want none", len(b.Requests))
+	}
+}
+
 func TestRejectionHasRetryAfter(t *testing.T) {
 	l := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("x", "127.0.0.1:1", "Terminating", 0)))
 	a := start(t, agenttest.Config(t, l.Listener.Addr().String(), agenttest.Settings))
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -53,7 +53,8 @@
 		listener: listener, handler: handler, drain: drain,
 		http: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: IdleTimeout, MaxHeaderBytes: protocol.MaxHeadBytes,
-			ConnContext: withConn, ConnState: listener.connState,
+			DisableGeneralOptionsHandler: true, // net/http would answer OPTIONS * with 200
+			ConnContext:                  withConn, ConnState: listener.connState,
 			ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		},
 	}
