Reject a reloaded file that lacks a key of one of its classes

Only keys that all classes of the present file share were asked for. Now a class must have all keys that the class of the same name and effect has, and a class of keyed requests that is new, or had another effect, must have dedupScope and repeatWindow, unless such a class of the present file does without.

TestReloadRejectsMissingDedupScope and six new rows of TestReloadRejectsBadFiles fail on the program before. A class with another effect may still drop the keys, as a row checks.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -122,6 +122,10 @@
 	if r := Reload(path, current); r.Err != nil {
 		t.Fatalf("an additional class: %v", r.Err)
 	}
+	write(strings.Replace(configText, `"effect":"token","dedupScope":"cell","repeatWindow":30000`, `"effect":"side_effect"`, 1))
+	if r := Reload(path, current); r.Err != nil {
+		t.Fatalf("a stricter effect, without the keys of the other one: %v", r.Err)
+	}
 	for _, c := range []struct{ field, old, new string }{
 		{"", configText, ""},
 		{"", configText, "null"},
@@ -139,6 +143,12 @@
 		{"deadline", `"deadline":30000,"credit":1,"effect":"side_effect"`, `"deadline":"x","credit":1,"effect":"side_effect"`},
 		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
 		{"categories[1].name", `"name":"celled",`, ``},
+		{"categories[0].dedupScope", `"dedupScope":"all",`, ``},
+		{"categories[1].dedupScope", `"dedupScope":"cell",`, ``},
+		{"categories[1].repeatWindow", `"cell","repeatWindow":30000`, `"cell"`},
+		{"categories[1].dedupScope", `"dedupScope":"cell"`, `"dedupScope":null`},
+		{"categories[2].dedupScope", `"effect":"side_effect"`, `"effect":"token","repeatWindow":1`},
+		{"categories[2].dedupScope", `{"name":"unsafe"`, `{"name":"new","aim":1,"deadline":2,"credit":1,"effect":"token","repeatWindow":1},{"name":"unsafe"`},
 	} {
 		text := strings.Replace(configText, c.old, c.new, 1)
 		if text == configText {
@@ -154,3 +164,37 @@
 		}
 	}
 }
+
+// Guards against applying a file that lacks the dedupScope of the only keyed class: retries would go to servers that do
+// not know the key.
+func TestReloadRejectsMissingDedupScope(t *testing.T) {
+	others := `{"name":"safe","aim":1,"deadline":2,"credit":1,"effect":"pure"},{"name":"unsafe","aim":1,"deadline":2,"credit":1,"effect":"side_effect"}`
+	with := func(classes string) []byte {
+		start, end := strings.Index(configText, `"categories":[`), strings.Index(configText, `],
+ "accounts"`)
+		return []byte(configText[:start] + `"categories":[` + classes + configText[end:])
+	}
+	keyed := `,{"name":"keyed","aim":1,"deadline":2,"credit":1,"effect":"token","dedupScope":"zone","repeatWindow":9}`
+	scopeless := strings.Replace(keyed, `"dedupScope":"zone",`, ``, 1)
+	for _, c := range []struct {
+		name, current, next string
+		ok                  bool
+	}{
+		{"the same", others + keyed, others + keyed, true},
+		{"without the key", others + keyed, others + scopeless, false},
+		{"first keyed class", others, others + keyed, true},
+		{"first keyed class, without the key", others, others + scopeless, false},
+		{"a second keyed class, without the key", others + keyed, others + keyed + strings.Replace(scopeless, "keyed", "other", 1), false},
+		{"never had the key", others + scopeless, others + scopeless, true},
+		{"the class goes", others + keyed, others, true},
+	} {
+		current, err := Parse(with(c.current))
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		_, err = ParseReload(with(c.next), current)
+		if (err == nil) != c.ok || err != nil && !strings.HasSuffix(err.Error(), ".dedupScope: missing") {
+			t.Errorf("%s: got error %v, want accepted %v", c.name, err, c.ok)
+		}
+	}
+}
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -58,9 +58,44 @@
 	if err := checkKeysPresent(current.contents, next.contents); err != nil {
 		return nil, err
 	}
+	if err := checkDedupKeys(classesIn(current.contents), classesIn(next.contents)); err != nil {
+		return nil, err
+	}
 	return next, nil
 }
 
+// dedupKeys are the keys that tell where and for how long servers recognize a repeated request. Only the classes of
+// keyed requests have them. A missing dedupScope would be read as the whole fleet.
+var dedupKeys = []string{"dedupScope", "repeatWindow"}
+
+// checkDedupKeys returns a *settings.FieldError for the first class of keyed requests in next that lacks one of
+// dedupKeys, unless such a class of the current configuration does without the key as well. Classes that are new or have
+// another effect are not compared by missingKey.
+func checkDedupKeys(current, next []map[string]any) error {
+	for _, key := range dedupKeys {
+		optional := slices.ContainsFunc(current, func(c map[string]any) bool { return isKeyed(c) && c[key] == nil })
+		for i, class := range next {
+			if isKeyed(class) && class[key] == nil && !optional {
+				return &settings.FieldError{Field: fmt.Sprintf("settings.categories[%d].%s", i, key), Err: ErrMissing}
+			}
+		}
+	}
+	return nil
+}
+
+func isKeyed(class map[string]any) bool { return class["effect"] == "token" }
+
+// classesIn returns the classes of a decoded configuration that has been parsed without an error.
+func classesIn(contents any) (classes []map[string]any) {
+	set, _ := contents.(map[string]any)["settings"].(map[string]any)
+	list, _ := set["categories"].([]any)
+	for _, element := range list {
+		class, _ := element.(map[string]any)
+		classes = append(classes, class)
+	}
+	return classes
+}
+
 // required has the keys that every configuration must contain, since a missing key would be read as zero.
 var required = mustDecode(`{"name":"","listen":"","discovery":"","seed":"",
 	"limits":{"cores":1,"memory_mb":1,"sockets":1},
@@ -125,7 +160,8 @@
 	return ""
 }
 
-// missingInList checks that each object of the list in contents has the keys that all objects in reference share.
+// missingInList checks that each object of the list in contents has the keys that all objects in reference share, and all
+// keys of the object of the same name. A class with another effect may need other keys, so it is not the same.
 func missingInList(reference []any, contents any, path string) string {
 	list, ok := contents.([]any)
 	if !ok {
@@ -136,13 +172,30 @@
 		return ""
 	}
 	for i, element := range list {
-		if missing := missingInObject(common, element, fmt.Sprintf("%s[%d]", path, i)); missing != "" {
+		inner := fmt.Sprintf("%s[%d]", path, i)
+		if missing := missingInObject(common, element, inner); missing != "" {
+			return missing
+		}
+		if missing := missingKey(sameObject(reference, element), element, inner); missing != "" {
 			return missing
 		}
 	}
 	return ""
 }
 
+// sameObject returns the object of a list that has the name and the effect of the given object, or nil if there is none.
+func sameObject(list []any, object any) any {
+	wanted, _ := object.(map[string]any)
+	i := slices.IndexFunc(list, func(element any) bool {
+		o, _ := element.(map[string]any)
+		return o["name"] != nil && o["name"] == wanted["name"] && o["effect"] == wanted["effect"]
+	})
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
 // commonKeys returns an object with the keys that all objects of a list share, or nil if the list is empty or has
 // elements that are not objects. The values only mark a key as present, so nested keys are not compared.
 func commonKeys(list []any) map[string]any {
