Let a server pause for up to 30 s within a long response, not 3 s

A limit remains for servers that hang, since a client that keeps waiting for one would hold two connections forever.

TestPauseWithinDownload fails on the program before with pauses of 4, 10 and 25 s.

--- a/internal/stream/download.go
+++ b/internal/stream/download.go
@@ -8,8 +8,10 @@
 	"time"
 )
 
-// maxResponsePause is how long a server may pause within a download.
-const maxResponsePause = 3 * time.Second
+// maxResponsePause is how long a server may pause within a download. Servers that work pause for seconds, and cutting off
+// what they still write loses the request; a client that no longer waits closes its connection. So this is long enough
+// that only a server that hangs exceeds it, whose response would otherwise occupy two connections forever.
+const maxResponsePause = 30 * time.Second
 
 // Download is a response that is too long to be buffered, passed from an attempt to a client's handler. The attempt
 // owns the connection and waits on Done. The handler, or the code that drops the response, calls Finish once.
--- /dev/null
+++ b/internal/stream/download_test.go
@@ -0,0 +1,66 @@
+package stream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// deadlineRecorder is a response writer whose writes never block.
+type deadlineRecorder struct{ *httptest.ResponseRecorder }
+
+func (deadlineRecorder) SetWriteDeadline(time.Time) error { return nil }
+
+var _ http.ResponseWriter = deadlineRecorder{}
+
+// pipeEnd is an end of a net.Pipe. Like a TCP connection, its deadline can be set after the other end has closed.
+type pipeEnd struct{ net.Conn }
+
+func (p pipeEnd) SetReadDeadline(at time.Time) error {
+	if err := p.Conn.SetReadDeadline(at); !errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	return nil
+}
+
+// Guards against cutting off a response whose server pauses for seconds and then goes on. A server that never goes on is
+// given up, so that it does not hold two connections forever.
+func TestPauseWithinDownload(t *testing.T) {
+	for _, pause := range []time.Duration{0, 2900 * time.Millisecond, 4 * time.Second, 10 * time.Second, 25 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			server, agent := net.Pipe()
+			defer agent.Close()
+			go func() {
+				for range 3 {
+					_, _ = server.Write([]byte("piece")) // fails if the download was given up
+					time.Sleep(pause)
+				}
+				server.Close()
+			}()
+			client := deadlineRecorder{httptest.NewRecorder()}
+			d := NewDownload(-1, []byte("first "), agent, pipeEnd{agent}, func() { agent.Close() })
+			if err := d.CopyTo(t.Context(), client, NewBuffers(1)); err != nil || client.Body.String() != "first piecepiecepiece" {
+				t.Errorf("pauses of %v: got %q and error %v, want the whole response", pause, client.Body.String(), err)
+			}
+			if err := <-d.Done(); err != nil {
+				t.Errorf("pauses of %v: the attempt got error %v, want none", pause, err)
+			}
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		server, agent := net.Pipe()
+		go func() { _, _ = io.WriteString(server, "piece") }()
+		start := time.Now()
+		d := NewDownload(-1, nil, agent, pipeEnd{agent}, func() { agent.Close() })
+		err := d.CopyTo(t.Context(), deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1))
+		if took := time.Since(start); !errors.Is(err, os.ErrDeadlineExceeded) || took > time.Minute {
+			t.Errorf("server hangs: got error %v after %v, want a timeout within a minute", err, took)
+		}
+	})
+}
