Bound the memory of buffered bodies and responses, and stream what does not fit

Requests were admitted by descriptors alone; each kept its body, a copy of it for each attempt and up to 64 KiB of its answer. A body that gets no room is streamed as longer ones are, and so is a response; an attempt writes the body without a copy. gw_buffered_bytes shows what is reserved.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,7 +114,8 @@
 func newAgent(workCtx context.Context, cfg *config.Config, log *slog.Logger) (*agent, error) {
 	limits := handover.LimitsFor(cfg, 1)
 	a := &agent{cfg: cfg, log: log, metrics: &metrics.Metrics{}}
-	a.pool = upstream.NewPool(&cfg.Settings, limits.ServerConns, a.metrics)
+	buffered := stream.NewMemory(limits.BufferedBytes, a.metrics.BufferedBytesChanged)
+	a.pool = upstream.NewPool(&cfg.Settings, limits.ServerConns, buffered, a.metrics)
 	var err error
 	a.loop, err = dispatch.New(dispatch.Options{
 		Settings: &cfg.Settings, Seed: cfg.Seed, Pool: a.pool, Metrics: a.metrics, Log: log,
@@ -130,10 +131,10 @@
 	})
 	a.discovery.StartFrom(cfg.CachedEndpoints)
 	a.clients = inbound.New(inbound.Options{
-		Dispatcher: a.loop, Metrics: a.metrics, Buffers: stream.NewBuffers(limits.StreamBytes),
+		Dispatcher: a.loop, Metrics: a.metrics, Buffers: stream.NewBuffers(limits.StreamBytes), Memory: buffered,
 		MaxRequests: limits.ActiveClientConns - limits.ActiveClientConns/8, Log: log, Done: workCtx.Done(),
 	})
-	a.quotas = handover.NewQuotas(cfg, a.clients.Listener(), a.pool)
+	a.quotas = handover.NewQuotas(cfg, a.clients.Listener(), a.pool, buffered)
 	return a, nil
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -91,7 +91,7 @@
 
 // clientResponse returns a server's response as it is passed on to the client.
 func clientResponse(response upstream.Response) Response {
-	return Response{Status: http.StatusOK, ContentType: response.ContentType, Body: response.Body, Download: response.Download}
+	return Response{Status: http.StatusOK, ContentType: response.ContentType, Body: response.Body, Memory: response.Memory, Download: response.Download}
 }
 
 // startHealthCheck starts a health check of a server. If the server has no endpoint, the check expires without being
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -7,7 +7,6 @@
 	"example.org/ryeloft/internal/discovery"
 	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/settings"
-	"example.org/ryeloft/internal/stream"
 )
 
 // input is an occurrence that the loop reacts to. The loop's goroutine calls handle.
@@ -72,6 +71,7 @@
 	l.metrics.RequestDispatched()
 	if !r.translate(l.settings.Load()) {
 		l.ids.close(r.idHash)
+		r.Memory.Release()
 		r.response <- Response{Status: protocol.StatusRejected}
 		return
 	}
@@ -92,9 +92,7 @@
 	// The request has already ended, and its handler no longer receives the response, if there is one.
 	select {
 	case response := <-in.request.response:
-		if response.Download != nil {
-			response.Download.Finish(stream.ErrNotRead)
-		}
+		response.Drop()
 	default:
 	}
 }
@@ -103,7 +101,7 @@
 	r := l.requests[in.request]
 	if in.response.Download != nil {
 		if !r.respond(in.response) { // the request was answered or abandoned before
-			in.response.Download.Finish(stream.ErrNotRead)
+			in.response.Drop()
 			return
 		}
 		r.streamingAttempt = in.attempt
@@ -119,8 +117,8 @@
 	if in.abandoned && !r.ended.Load() {
 		l.abandon(ctx, r)
 	}
-	if in.outcome == balancer.OutcomeOK {
-		r.respond(in.response)
+	if in.outcome == balancer.OutcomeOK && !r.respond(in.response) {
+		in.response.Drop()
 	}
 	l.handle(ctx, balancer.Event{
 		Kind: balancer.EventOutcome, Request: in.request, Attempt: in.attempt, Server: in.server,
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -125,9 +125,11 @@
 }
 
 // Submit passes a request to the loop, which sends the response on the request's Response channel. If the request's id
-// is in use in this process or another process of the agent, Submit itself sends a response with status 409.
+// is in use in this process or another process of the agent, Submit itself sends a response with status 409. In either
+// case the request's memory is released.
 func (l *Loop) Submit(r *Request) {
 	if !l.reserveID(r) {
+		r.Memory.Release()
 		r.response <- Response{Status: http.StatusConflict, ContentType: "text/plain", Body: []byte(protocol.HeaderRequestID + " is in use\n")}
 		return
 	}
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	counters := &metrics.Metrics{}
 	l, err := New(Options{
-		Settings: set, Seed: 1, Pool: upstream.NewPool(set, 4, counters), Metrics: counters, Log: agenttest.DiscardLogger,
+		Settings: set, Seed: 1, Pool: upstream.NewPool(set, 4, nil, counters), Metrics: counters, Log: agenttest.DiscardLogger,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -16,12 +16,13 @@
 type Request struct {
 	ID        string // as assigned by the client
 	ClassName string
-	Settings  *settings.Settings // by which it was parsed
-	Class     int                // index into the settings' classes
-	Tenant    int                // index into the settings' tenants
-	Retry     bool               // the client marked it as a retry
-	Deadline  time.Duration      // on the loop's clock
-	Upstream  *upstream.Request  // what is sent to a server
+	Settings  *settings.Settings  // by which it was parsed
+	Class     int                 // index into the settings' classes
+	Tenant    int                 // index into the settings' tenants
+	Retry     bool                // the client marked it as a retry
+	Deadline  time.Duration       // on the loop's clock
+	Upstream  *upstream.Request   // what is sent to a server
+	Memory    *stream.Reservation // of the body; released when the request and its attempts have ended
 	// ClientClosed reports whether the client has closed its connection. Any goroutine may call it.
 	ClientClosed func() bool
 
@@ -50,7 +51,16 @@
 	RetryAfter  time.Duration // 0: no Retry-After header
 	ContentType string
 	Body        []byte
-	Download    *stream.Download // replaces Body if the body is too long to be buffered; nil otherwise
+	Memory      *stream.Reservation // of Body; released by the handler, or by Drop
+	Download    *stream.Download    // replaces Body if the body is too long to be buffered; nil otherwise
+}
+
+// Drop ends a response that no client receives.
+func (r *Response) Drop() {
+	r.Memory.Release()
+	if r.Download != nil {
+		r.Download.Finish(stream.ErrNotRead)
+	}
 }
 
 // openRequest is the loop's state of a request until the request has ended and all its attempts have ended.
@@ -91,5 +101,6 @@
 	if r.ended.Load() && r.inFlight == 0 {
 		delete(l.requests, r.balancerID)
 		l.ids.close(r.idHash)
+		r.Memory.Release()
 	}
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -96,7 +96,7 @@
 			t.Errorf("%d descriptors: got %d for two processes with %d client connections each, want at most %d with at least %d each",
 				sockets, sum, two.ActiveClientConns, sockets, minQuota)
 		}
-		if 2*two.StreamBytes > one.StreamBytes || 2*two.HeapBytes > one.HeapBytes {
+		if 2*two.StreamBytes > one.StreamBytes || 2*two.BufferedBytes > one.BufferedBytes || 2*two.HeapBytes > one.HeapBytes {
 			t.Errorf("got memory limits of each of two processes %+v, want at most half of %+v", two, one)
 		}
 	}
--- a/internal/handover/limits.go
+++ b/internal/handover/limits.go
@@ -12,6 +12,12 @@
 	minQuota = extraClientConns
 	// streamMemoryDivisor limits the buffers of streams to this fraction (1/16) of the memory.
 	streamMemoryDivisor = 16
+	// bufferedFraction is the fraction of the memory for client connections, each of which takes connBytes with its
+	// request and its connection to a server, and for bodies and responses that are buffered. These get at least
+	// minBufferedFraction. The streams, the endpoint list and the garbage collector's headroom take the rest of HeapBytes.
+	bufferedFraction    = 0.375
+	minBufferedFraction = 0.0625
+	connBytes           = 24 << 10
 	// heapFraction is the garbage collector's fraction of the memory. The rest is for memory that it does not count,
 	// such as kernel stacks and the program text.
 	heapFraction = 0.7
@@ -25,6 +31,7 @@
 	// ActiveClientConns is the limit of client connections when all of them have a request in progress.
 	ActiveClientConns int
 	StreamBytes       int64 // not changed after the start of the process
+	BufferedBytes     int64
 	HeapBytes         int64
 }
 
@@ -40,6 +47,9 @@
 		StreamBytes:       memory / streamMemoryDivisor,
 		HeapBytes:         int64(heapFraction * float64(memory)),
 	}
+	all := float64(int64(cfg.MemoryMB) << 20)
+	buffered := max(minBufferedFraction*all, bufferedFraction*all-float64(l.ActiveClientConns)*connBytes)
+	l.BufferedBytes = int64(buffered / float64(processes))
 	if processes > 1 {
 		left := cfg.Sockets - processes*(config.ReservedSockets+l.ServerConns)
 		l = l.withActiveClientConns(max(minQuota, min(l.ActiveClientConns, left)/processes))
--- a/internal/handover/quota.go
+++ b/internal/handover/quota.go
@@ -68,22 +68,28 @@
 	UpdateLimit(decide func(open int) (maxConns int))
 }
 
-// Quotas applies a process's quotas to its connections and its memory limit. It has no mutex: the Handover, if there is
+// BufferedMemory limits the bodies and responses that are buffered.
+type BufferedMemory interface {
+	SetLimit(bytes int64)
+}
+
+// Quotas applies a process's quotas to its connections and its memory limits. It has no mutex: the Handover, if there is
 // one, calls its methods under its own.
 type Quotas struct {
 	cfg         *config.Config
 	clientConns ClientConns
 	serverConns ServerConns
+	buffered    BufferedMemory
 	processes   int
 	clients     quota
 	servers     quota
 }
 
 // NewQuotas returns the quotas of a process that is alone, and applies them.
-func NewQuotas(cfg *config.Config, clients ClientConns, servers ServerConns) *Quotas {
+func NewQuotas(cfg *config.Config, clients ClientConns, servers ServerConns, buffered BufferedMemory) *Quotas {
 	alone := LimitsFor(cfg, 1)
 	q := &Quotas{
-		cfg: cfg, clientConns: clients, serverConns: servers,
+		cfg: cfg, clientConns: clients, serverConns: servers, buffered: buffered,
 		clients: quota{total: alone.ActiveClientConns}, servers: quota{total: alone.ServerConns},
 	}
 	q.peerEnded(1)
@@ -118,11 +124,12 @@
 	q.enforce()
 }
 
-// limitMemory applies the memory limit of one of the given number of processes, and returns all limits for that number.
+// limitMemory applies the memory limits of one of the given number of processes, and returns all limits for that number.
 func (q *Quotas) limitMemory(processes int) Limits {
 	q.processes = processes
 	l := LimitsFor(q.cfg, processes)
 	debug.SetMemoryLimit(l.HeapBytes)
+	q.buffered.SetLimit(l.BufferedBytes)
 	return l
 }
 
--- a/internal/handover/quota_test.go
+++ b/internal/handover/quota_test.go
@@ -12,11 +12,12 @@
 
 	"example.org/ryeloft/internal/agenttest"
 	"example.org/ryeloft/internal/config"
+	"example.org/ryeloft/internal/stream"
 )
 
 // quotasFor returns the quotas of a process without real connections.
 func quotasFor(cfg *config.Config) *Quotas {
-	return NewQuotas(cfg, newFakeClientConns(), &fakeServerConns{})
+	return NewQuotas(cfg, newFakeClientConns(), &fakeServerConns{}, stream.NewMemory(0, func(int64) {}))
 }
 
 // release gives up exactly the slots that are not needed, and drops the excess before it releases any.
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -36,6 +36,7 @@
 	metrics     *metrics.Metrics
 	listener    *Listener
 	buffers     *stream.Buffers
+	memory      *stream.Memory
 	maxRequests int64
 	drain       *drainer
 	failOpen    chan struct{} // closed to fail all open requests, because the process is about to be killed
@@ -76,6 +77,9 @@
 	}
 	x := &exchange{w: w, r: r, conn: connOf(r), request: request}
 	if err != nil || !h.listener.beginRequest(x.conn) { // the connection has ended
+		if request != nil {
+			request.Memory.Release()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	h.serve(x)
@@ -109,6 +113,7 @@
 		}
 		defer h.closeUpload(x)
 		if !upload.Reserve(h.buffers) {
+			x.request.Memory.Release()
 			h.rejectOverLimit(x)
 			return
 		}
@@ -118,6 +123,7 @@
 	}
 	defer h.openRequests.Add(-1)
 	if h.openRequests.Add(1) > h.maxRequests {
+		x.request.Memory.Release()
 		h.rejectOverLimit(x)
 		return
 	}
@@ -159,13 +165,14 @@
 // deliver writes the dispatcher's response to the client. If the request's time is limited, it does not start a
 // download, because that may take any time and its status cannot be changed once it has started.
 func (h *clientHandler) deliver(x *exchange, response dispatch.Response, limited bool) {
+	defer response.Memory.Release()
 	switch {
 	case response.Status == 0:
 		panic(http.ErrAbortHandler)
 	case response.Download == nil:
 		h.respond(x, response)
 	case limited || x.upload() != nil && h.drain.limitsRequests():
-		response.Download.Finish(stream.ErrNotRead)
+		response.Drop()
 		h.respond(x, dispatch.Response{Status: protocol.StatusFailed})
 	default:
 		h.respondWithDownload(x, response)
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -73,8 +73,9 @@
 	}
 	conn := connOf(r)
 	control := http.NewResponseController(w)
-	body, upload, err := readBody(r, stream.NewPacedReader(r.Body, control, conn.requestStart()), conn)
+	body, upload, err := h.readBody(r, request, stream.NewPacedReader(r.Body, control, conn.requestStart()), conn)
 	if err != nil {
+		request.Memory.Release()
 		return nil, &badRequestError{http.StatusRequestTimeout, fmt.Sprintf("the body does not come: %v", err)}
 	}
 	budget -= responseMargin(budget)
@@ -85,7 +86,7 @@
 	} else if err := control.SetReadDeadline(time.Time{}); err != nil {
 		// The deadline is cleared because from here on net/http watches the connection for a close by the client, for
 		// as long as the response takes.
-		return nil, err
+		return request, err
 	}
 	request.Upstream = upstream.NewRequest(r.Method, r.RequestURI, r.Host, r.Header, body, upload)
 	return request, nil
@@ -174,12 +175,22 @@
 	return nil
 }
 
-// readBody reads a body that is short enough to be buffered, or returns an upload. Nothing of an upload's body has been
-// read yet, or just more than can be buffered if its length is unknown.
-func readBody(r *http.Request, source io.Reader, client stream.ArrivalClock) (body []byte, upload *stream.Upload, err error) {
-	if r.ContentLength > stream.MaxBufferedBytes {
+// readBody reads a body that is short enough to be buffered, and reserves its memory, or returns an upload. Nothing of an
+// upload's body has been read yet, or just more than can be buffered if its length is unknown.
+func (h *clientHandler) readBody(r *http.Request, request *dispatch.Request, source io.Reader, client stream.ArrivalClock) (body []byte, upload *stream.Upload, err error) {
+	expected := r.ContentLength
+	if expected < 0 {
+		expected = stream.MaxBufferedBytes
+	}
+	var reserved *stream.Reservation
+	fits := expected <= stream.MaxBufferedBytes
+	if fits {
+		reserved, fits = h.memory.TryReserve(expected)
+	}
+	if !fits {
 		return nil, stream.NewUpload(r.ContentLength, nil, source, client), nil
 	}
+	request.Memory = reserved
 	if r.ContentLength >= 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(source, body)
@@ -189,6 +200,7 @@
 	if len(body) > stream.MaxBufferedBytes {
 		return nil, stream.NewUpload(r.ContentLength, body, source, client), err
 	}
+	reserved.Shrink(int64(cap(body)))
 	return body, nil, err
 }
 
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -27,7 +27,8 @@
 	Dispatcher  Dispatcher
 	Metrics     *metrics.Metrics
 	Buffers     *stream.Buffers
-	MaxRequests int // the maximum number of open requests; more are rejected
+	Memory      *stream.Memory // for buffered bodies
+	MaxRequests int            // the maximum number of open requests; more are rejected
 	Log         *slog.Logger
 	// Done is closed when the agent has ended.
 	Done <-chan struct{}
@@ -46,7 +47,7 @@
 	listener := newListener(o.Metrics)
 	drain := &drainer{listener: listener, done: o.Done, log: o.Log}
 	handler := &clientHandler{
-		dispatcher: o.Dispatcher, metrics: o.Metrics, listener: listener, buffers: o.Buffers,
+		dispatcher: o.Dispatcher, metrics: o.Metrics, listener: listener, buffers: o.Buffers, memory: o.Memory,
 		maxRequests: int64(o.MaxRequests), drain: drain, failOpen: make(chan struct{}),
 	}
 	return &Server{
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,6 +22,7 @@
 	classes  map[string]*[resultCount]int // responses per class
 
 	active           atomic.Int64 // requests in flight
+	bufferedBytes    atomic.Int64
 	endpoints        atomic.Int64
 	ejectedEndpoints atomic.Int64
 }
@@ -117,6 +118,9 @@
 // RequestClosed removes a request that RequestOpened added.
 func (m *Metrics) RequestClosed() { m.active.Add(-1) }
 
+// BufferedBytesChanged adds the given number to the gauge of the bytes that buffered bodies and responses take.
+func (m *Metrics) BufferedBytesChanged(by int64) { m.bufferedBytes.Add(by) }
+
 // RequestDispatched counts a request that was handed to the balancer.
 func (m *Metrics) RequestDispatched() {
 	m.count(func(i *intervalCounters) { i.requests++ })
--- a/internal/metrics/text.go
+++ b/internal/metrics/text.go
@@ -18,8 +18,8 @@
 			}
 		}
 	}
-	if _, err := fmt.Fprintf(w, "gw_tries_total %d\ngw_active %d\ngw_pool_size %d\ngw_pool_ejected %d\n",
-		m.counters.attempts, m.active.Load(), m.endpoints.Load(), m.ejectedEndpoints.Load()); err != nil {
+	if _, err := fmt.Fprintf(w, "gw_tries_total %d\ngw_active %d\ngw_buffered_bytes %d\ngw_pool_size %d\ngw_pool_ejected %d\n",
+		m.counters.attempts, m.active.Load(), m.bufferedBytes.Load(), m.endpoints.Load(), m.ejectedEndpoints.Load()); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintf(w, "gw_config_applied_total %d\ngw_config_rejected_total %d\n", m.counters.configsApplied, m.counters.configsRejected)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,7 +23,8 @@
 type Response struct {
 	ContentType string
 	Body        []byte
-	Download    *stream.Download // replaces Body if the body is too large to buffer; nil otherwise
+	Memory      *stream.Reservation // of Body; whoever drops the body releases it
+	Download    *stream.Download    // replaces Body if the body is too large to buffer; nil otherwise
 }
 
 // Result describes how an attempt or a health check ended.
@@ -79,7 +80,9 @@
 		Load:    parseLoadReport(response.head.Header.Get(protocol.HeaderLoadReport), a.LoadFields),
 	}
 	if result.Outcome == balancer.OutcomeOK {
-		result.Response = Response{ContentType: response.head.Header.Get("Content-Type"), Body: response.body}
+		result.Response = Response{ContentType: response.head.Header.Get("Content-Type"), Body: response.body, Memory: response.memory}
+	} else {
+		response.memory.Release()
 	}
 	return result
 }
@@ -146,7 +149,7 @@
 	if !r.healthCheck {
 		p.metrics.AttemptSent()
 	}
-	response, err := c.receive(a)
+	response, err := c.receive(a, p.memory)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, stream.ErrNotRead) {
 			p.metrics.ResponseBroken(c.used, err)
@@ -179,8 +182,7 @@
 // writeRequest writes a request up to its last byte.
 func (c *conn) writeRequest(r *Request, a *Attempt) error {
 	if r.upload == nil {
-		_, err := c.Write(r.encode(time.Until(a.Deadline)))
-		return err
+		return r.writeTo(c, time.Until(a.Deadline))
 	}
 	return c.writeUpload(r, a)
 }
@@ -194,7 +196,7 @@
 	if err := c.SetWriteDeadline(r.upload.Deadline()); err != nil {
 		return err
 	}
-	if _, err := c.Write(r.encode(time.Until(r.upload.Deadline()))); err != nil {
+	if err := r.writeTo(c, time.Until(r.upload.Deadline())); err != nil {
 		return err
 	}
 	if err := r.upload.SendTo(c); err != nil {
@@ -208,11 +210,15 @@
 }
 
 // receive reads a response, and forwards it if it is too large to buffer.
-func (c *conn) receive(a *Attempt) (*serverResponse, error) {
-	response, err := c.readResponse()
+func (c *conn) receive(a *Attempt, memory *stream.Memory) (*serverResponse, error) {
+	if a.Forward == nil {
+		memory = nil // the response cannot be streamed
+	}
+	response, err := c.readResponse(memory)
 	if err != nil || response.rest == nil {
 		return response, err
 	}
+	defer response.memory.Release()
 	if err := c.forward(response, a); err != nil {
 		return nil, err
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -33,7 +33,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=7,recent_ms=12", false
 	})
 	cfg := agenttest.Config(t, "127.0.0.1:1", strings.Replace(agenttest.Settings, `"off"`, `"on_probe"`, 1))
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	r := p.HealthCheck(context.Background(), p.AddEndpoint(server.Addr, 0), &cfg.Settings)
 	if r.Outcome != balancer.OutcomeOK || r.Load.InFlight != 7 || r.Load.ServiceTime != 12*time.Millisecond || r.Load.Queue != -1 {
 		t.Errorf("got %+v, want outcome %d with 7 in flight and a service time of 12 ms", r, balancer.OutcomeOK)
@@ -54,7 +54,7 @@
 func TestNothingSentAfterSendBefore(t *testing.T) {
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint := p.AddEndpoint(server.Addr, 0)
 	request := NewRequest("POST", "/keyed/1", "x", nil, nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), agenttest.Timeout)
@@ -71,7 +71,7 @@
 // connection is no longer counted.
 func TestContextEndsBeforeConnect(t *testing.T) {
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint := p.AddEndpoint("127.0.0.1:1", 0)
 	request := NewRequest("GET", "/", "x", nil, nil, nil)
 	expired, cancel := context.WithDeadline(context.Background(), time.Now())
@@ -94,7 +94,7 @@
 func TestPoolAvoidsIdleAgesWithLosses(t *testing.T) {
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint := p.AddEndpoint(server.Addr, 0)
 	const idle = 200 * time.Millisecond
 	for range 3 {
@@ -125,7 +125,7 @@
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
 	for _, idle := range []bool{false, true} {
-		p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+		p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 		endpoint := p.AddEndpoint(server.Addr, 0)
 		request := NewRequest("GET", "/", "x", nil, nil, nil)
 		if idle {
@@ -152,7 +152,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\nhalf", false
 	})
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	request := NewRequest("GET", "/", "x", nil, nil, nil)
 	fired := time.AfterFunc(0, func() {}) // does not end the context
 	for fired.Stop() {
@@ -190,7 +190,7 @@
 			}
 		}()
 		cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-		p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+		p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 		buffers := stream.NewBuffers(2 * stream.BufferBytes)
 		upload := stream.NewUpload(100_000, nil, stream.NewPacedReader(bytes.NewReader(agenttest.Pattern(100_000)), http.NewResponseController(httptest.NewRecorder()), time.Time{}), noArrivals{})
 		upload.Budget = agenttest.Timeout
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 
 	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/settings"
+	"example.org/ryeloft/internal/stream"
 )
 
 // idleMargin is subtracted from the idle timeout of servers: a connection is no longer reused this long before the
@@ -42,6 +43,7 @@
 // may have run. Any goroutine may call its methods.
 type Pool struct {
 	metrics *metrics.Metrics
+	memory  *stream.Memory // for buffered responses
 
 	mu             sync.Mutex
 	connectTimeout time.Duration
@@ -52,9 +54,9 @@
 	idleAges       idleAgeStats
 }
 
-// NewPool returns a pool of at most maxConns connections.
-func NewPool(s *settings.Settings, maxConns int, m *metrics.Metrics) *Pool {
-	p := &Pool{metrics: m, maxConns: maxConns, endpoints: map[*Endpoint]struct{}{}}
+// NewPool returns a pool of at most maxConns connections. Responses for which no memory is left are streamed.
+func NewPool(s *settings.Settings, maxConns int, memory *stream.Memory, m *metrics.Metrics) *Pool {
+	p := &Pool{metrics: m, memory: memory, maxConns: maxConns, endpoints: map[*Endpoint]struct{}{}}
 	p.Configure(s)
 	return p
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -17,7 +17,7 @@
 func TestPoolResize(t *testing.T) {
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint := p.AddEndpoint(server.Addr, 0)
 	var conns []*conn
 	for range 4 {
@@ -44,7 +44,7 @@
 func TestUpdateLimit(t *testing.T) {
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	pool := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	pool := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint, other := pool.AddEndpoint(server.Addr, 0), pool.AddEndpoint(server.Addr, 1)
 	var inUse []*conn
 	for range 3 {
@@ -88,7 +88,7 @@
 func TestPoolLimit(t *testing.T) {
 	x, y := agenttest.NewServer(t, agenttest.Serve), agenttest.NewServer(t, func(int, *http.Request) (string, bool) { return "", false })
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 1, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 1, nil, &metrics.Metrics{})
 	toX, toY := p.AddEndpoint(x.Addr, 0), p.AddEndpoint(y.Addr, 0)
 	request := NewRequest("GET", "/", "x", nil, nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), agenttest.Timeout)
@@ -118,7 +118,7 @@
 func TestIdleConnectionsClose(t *testing.T) {
 	server := agenttest.NewServer(t, agenttest.Serve)
 	cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-	p := NewPool(&cfg.Settings, 4, &metrics.Metrics{})
+	p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
 	endpoint := p.AddEndpoint(server.Addr, 0)
 	request := NewRequest("GET", "/", "x", nil, nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), agenttest.Timeout)
@@ -154,7 +154,7 @@
 // The pool reuses the most recently used connection first, which the server is least likely to have closed, but not right
 // after its response.
 func TestMostRecentlyUsedFirst(t *testing.T) {
-	p := NewPool(&agenttest.Config(t, "127.0.0.1:1", agenttest.Settings).Settings, 4, &metrics.Metrics{})
+	p := NewPool(&agenttest.Config(t, "127.0.0.1:1", agenttest.Settings).Settings, 4, nil, &metrics.Metrics{})
 	x := p.AddEndpoint("x", 0)
 	older, newer := &conn{endpoint: x}, &conn{endpoint: x}
 	resting := &conn{endpoint: x}
--- a/internal/upstream/readresponse.go
+++ b/internal/upstream/readresponse.go
@@ -35,10 +35,12 @@
 	head *http.Response
 	body []byte
 	rest io.Reader // the unread rest of the body; nil if body is complete
+	// memory is the reservation of body.
+	memory *stream.Reservation
 }
 
 // readResponse reads one response.
-func (c *conn) readResponse() (*serverResponse, error) {
+func (c *conn) readResponse(memory *stream.Memory) (*serverResponse, error) {
 	c.limit.N = protocol.MaxHeadBytes
 	head, err := c.readHead()
 	if err != nil {
@@ -48,14 +50,25 @@
 		return nil, fmt.Errorf("response of %d bytes exceeds the limit of %d", head.ContentLength, stream.MaxBytes)
 	}
 	c.limit.N = math.MaxInt64
-	body, complete, err := c.readBody(head)
+	short := head.ContentLength >= 0 && head.ContentLength <= stream.MaxBufferedBytes
+	expected := int64(stream.MaxBufferedBytes)
+	if short {
+		expected = head.ContentLength
+	}
+	reserved, ok := memory.TryReserve(expected)
+	if !ok {
+		return &serverResponse{head: head, rest: head.Body}, nil
+	}
+	body, complete, err := c.readBody(head, short)
 	if err != nil {
+		reserved.Release()
 		return nil, err
 	}
-	response := &serverResponse{head: head, body: body}
+	response := &serverResponse{head: head, body: body, memory: reserved}
 	if !complete {
 		response.rest = head.Body
 	}
+	reserved.Shrink(int64(cap(body)))
 	return response, nil
 }
 
@@ -87,8 +100,7 @@
 // readBody reads a short body to its end. Of any other body it reads the beginning: as much as can be buffered, or
 // arrives within MaxBufferTime. If the connection breaks in the beginning, the attempt fails here, before any of the
 // response was forwarded to the client.
-func (c *conn) readBody(head *http.Response) (body []byte, complete bool, err error) {
-	short := head.ContentLength >= 0 && head.ContentLength <= stream.MaxBufferedBytes
+func (c *conn) readBody(head *http.Response, short bool) (body []byte, complete bool, err error) {
 	if short {
 		body = make([]byte, 0, head.ContentLength+1)
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,11 +39,16 @@
 // Upload returns the body that is too large to buffer, or nil if there is none.
 func (r *Request) Upload() *stream.Upload { return r.upload }
 
-// encode returns the bytes of the request with the given remaining time in its budget header. An upload is not
-// included.
-func (r *Request) encode(budget time.Duration) []byte {
-	text := make([]byte, 0, len(r.head)+len(protocol.HeaderBudget)+32+len(r.body))
-	text = append(text, r.head...)
-	text = fmt.Appendf(text, "%s: %s\r\n\r\n", protocol.HeaderBudget, protocol.FormatBudget(budget))
-	return append(text, r.body...)
+// writeTo writes the request with the given remaining time in its budget header. An upload is not included. The body is
+// not copied: with each attempt that would take as much memory as the request itself.
+func (r *Request) writeTo(c *conn, budget time.Duration) error {
+	head := make([]byte, 0, len(r.head)+len(protocol.HeaderBudget)+32)
+	head = append(head, r.head...)
+	head = fmt.Appendf(head, "%s: %s\r\n\r\n", protocol.HeaderBudget, protocol.FormatBudget(budget))
+	parts := net.Buffers{head}
+	if len(r.body) > 0 {
+		parts = append(parts, r.body)
+	}
+	_, err := parts.WriteTo(c.Conn) // in one call to the system
+	return err
 }
--- a/internal/upstream/secondresponse_test.go
+++ b/internal/upstream/secondresponse_test.go
@@ -34,7 +34,7 @@
 				}
 			}()
 			cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
-			p := NewPool(&cfg.Settings, 100, &metrics.Metrics{})
+			p := NewPool(&cfg.Settings, 100, nil, &metrics.Metrics{})
 			endpoint := p.AddEndpoint(l.Addr().String(), 0)
 			ctx, cancel := context.WithTimeout(t.Context(), agenttest.Timeout)
 			defer cancel()
