Poll soon again after up to six rejections, even if the bound has passed

An immediate rejection costs the service nothing, so up to six in a row are now followed by a poll after a quarter of a round at most, whether or not time remains.

TestPollsSoonAfterRejections fails on the program before.

--- a/internal/balancer/polling.go
+++ b/internal/balancer/polling.go
@@ -19,7 +19,7 @@
 	pollReserve = 1500 * time.Millisecond
 	// maxQuickPolls is how many consecutive rejected polls are followed by an early poll. A service that is down also
 	// rejects polls, and the agents' polls must be spread out when it recovers.
-	maxQuickPolls = 2
+	maxQuickPolls = 6
 )
 
 // schedulePoll sets the timer for the next poll after a failed poll, a migration, or a start with a cached list. It
@@ -85,18 +85,18 @@
 // pacedPollDelay returns the delay of a further poll if the latency of the service is known: 0.5 to 1.5 rounds, where a
 // round is the time in which the service responds to each agent once. Much faster polls would keep the service busy
 // with polls that the agents have already abandoned. The delay is shorter if time remains for another poll afterwards,
-// and shorter still after one or two rejections, which cost the service nothing. The bound may count from the start of
-// the failed poll, so PollElapsed is subtracted: a poll that hangs plus a full delay would exceed the bound.
+// and shorter still after a few rejections, even if no time remains: they cost the service nothing, and what the agent
+// has missed may count as notified already. The bound may count from the start of the failed poll, so PollElapsed is
+// subtracted: a poll that hangs plus a full delay would exceed the bound.
 func (b *Balancer) pacedPollDelay(ev *Event) time.Duration {
 	round := ev.PollLatency * time.Duration(b.settings.Agents)
 	delay := seconds(round.Seconds() * (0.5 + b.rng.Float64()))
-	divisor := time.Duration(2)
-	if b.pollRejections > 0 && b.pollRejections <= maxQuickPolls {
-		divisor = 4
-	}
 	slack := b.pollBound(ev.Remaining) - 2*ev.PollLatency
-	if slack > 0 {
-		delay = min(delay, max(slack/divisor, round/divisor))
+	switch {
+	case b.pollRejections > 0 && b.pollRejections <= maxQuickPolls:
+		delay = min(delay, max(slack, round)/4)
+	case slack > 0:
+		delay = min(delay, max(slack, round)/2)
 	}
 	return max(minPollInterval, min(delay, b.pollWindow(0)-ev.PollElapsed))
 }
--- a/internal/balancer/polling_test.go
+++ b/internal/balancer/polling_test.go
@@ -142,6 +142,29 @@
 	}
 }
 
+// Guards against waiting for half a round or more after the third rejection in a row: an agent that a crowded service had
+// rejected a few times polled again only seconds after its missed changes counted as notified. A service that goes on to
+// reject polls may be down, so the polls are spread out again.
+func TestPollsSoonAfterRejections(t *testing.T) {
+	const agents, quick, latency, quarterRound = 6, 6, 450 * ms, 675 * ms
+	for seed := range uint64(20) {
+		s := testSettings()
+		s.PollEndpoints, s.MaxPollInterval, s.Agents, s.Rank = true, 10*time.Second, agents, agents-1
+		h := newSeededHarness(t, s, seed, readyEndpoints(2)...)
+		h.handle(Event{Kind: EventDiscovery, Update: DiscoveryMigrated, Remaining: 4 * time.Second, PollLatency: latency})
+		for n, remaining := range []time.Duration{1700 * ms, 1000 * ms, 300 * ms, 1, 1, 1, 1, 1} {
+			a := onlyAction(t, h.handle(Event{Kind: EventDiscovery, Update: PollFailed, Outcome: OutcomeRejected, Remaining: remaining, PollLatency: latency}), ActionSetTimer)
+			least, most := minPollInterval, quarterRound
+			if n >= quick {
+				least, most = 2*quarterRound, 6*quarterRound
+			}
+			if a.Delay < least || a.Delay > most {
+				t.Errorf("seed %d, rejection %d, %v remaining: got delay %v, want %v to %v", seed, n+1, remaining, a.Delay, least, most)
+			}
+		}
+	}
+}
+
 // Only the latest poll timer may trigger a poll: one set before a migration or a failure would trigger it too early.
 func TestOnlyLatestPollTimerPolls(t *testing.T) {
 	s := testSettings()
