Let a response pause until its deadline if its request cannot be sent again

A response of up to 64 KiB was given up after a pause of 1 s, or when its head took 1 s. That leaves time for another attempt, but a request of a class with side effects cannot be sent again once it may have run: its client got a 502 though the server went on to answer within the budget.

TestPauseWithinBufferedResponse fails on the program before for both, and holds other classes to the old limit.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,6 +50,7 @@
 	}
 	options := &upstream.Attempt{
 		Deadline: time.Now().Add(remaining), LoadFields: l.settings.Load().ReportFields, Abandoned: r.hasEnded,
+		Patient: r.Settings.Balancer.Classes[r.Class].Idempotency == balancer.NonIdempotent,
 	}
 	if a.DispatchWithin > 0 {
 		options.SendBefore = time.Now().Add(a.DispatchWithin)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,6 +44,8 @@
 	Timer *time.Timer
 	// SendBefore is when it is too late to send the request; the zero time means never.
 	SendBefore time.Time
+	// Patient is set if the request cannot be sent again. A response may then pause until the deadline.
+	Patient bool
 	// Abandoned reports whether nobody waits for the response any more; nil means never.
 	Abandoned func() bool
 	// LoadFields are the field names that a load report may contain.
@@ -214,7 +216,7 @@
 	if a.Forward == nil {
 		memory = nil // the response cannot be streamed
 	}
-	response, err := c.readResponse(memory)
+	response, err := c.readResponse(memory, a.Patient)
 	if err != nil || response.rest == nil {
 		return response, err
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -145,6 +146,47 @@
 	}
 }
 
+// Guards against giving up a response that pauses for over a second, or whose head comes in pieces, if the request cannot be
+// sent again: its client would learn nothing of what the server goes on to write before the deadline.
+func TestPauseWithinBufferedResponse(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	for name, pieces := range map[string][]string{
+		"body": {"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nfirst ", "piece"},
+		"head": {"HTTP/1.1 200 OK\r\nContent-", "Length: 11\r\n\r\nfirst piece"},
+	} {
+		for _, patient := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, patient %v", name, patient), func(t *testing.T) {
+				t.Parallel()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer l.Close()
+				go func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, pieces[0])
+					time.Sleep(pause)
+					_, _ = io.WriteString(c, pieces[1]) // fails if the agent has given up
+				}()
+				cfg := agenttest.Config(t, "127.0.0.1:1", agenttest.Settings)
+				p := NewPool(&cfg.Settings, 4, nil, &metrics.Metrics{})
+				request := NewRequest("POST", "/", "x", nil, nil, nil)
+				r := p.Exchange(t.Context(), p.AddEndpoint(l.Addr().String(), 0), request, &Attempt{Deadline: time.Now().Add(agenttest.Timeout), Patient: patient})
+				switch {
+				case patient && (r.Outcome != balancer.OutcomeOK || string(r.Response.Body) != "first piece"):
+					t.Errorf("got outcome %d with response %q, want all of it", r.Outcome, r.Response.Body)
+				case !patient && r.Outcome == balancer.OutcomeOK:
+					t.Error("got a response, want the attempt to end so that another one can be made")
+				}
+			})
+		}
+	}
+}
+
 // If the timer fires just before a long response would be forwarded, the outcome is a timeout and nothing is forwarded,
 // even though the context has not ended yet.
 func TestLongResponseAtDeadline(t *testing.T) {
