Have TestRejectionsShedNothing wait for the load reports that it relies on

The test failed at times on a busy machine: it has a server reject its requests while its load reports show little load, but did not wait for these reports, which the agent asks for when it picks a server for the first time. A rejection by a server whose load is not known counts as overload, as intended, and the next request is shed. It now waits until the agent's log counts both reports, and checks all that it did before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -37,6 +38,12 @@
 
 // launch runs an agent until the test ends.
 func launch(t *testing.T, cfg *config.Config) *testAgent {
+	t.Helper()
+	return launchWithLog(t, cfg, agenttest.DiscardLogger)
+}
+
+// launchWithLog runs an agent that logs to the given logger until the test ends.
+func launchWithLog(t *testing.T, cfg *config.Config, log *slog.Logger) *testAgent {
 	t.Helper()
 	listener, err := listen(t.Context(), cfg.Listen, true)
 	if err != nil {
@@ -49,7 +56,7 @@
 		reloads: make(chan config.ReloadResult),
 	}
 	go func() {
-		r.ended <- run(ctx, cfg, r.reloads, agenttest.DiscardLogger, func() (*net.TCPListener, error) { return listener, nil })
+		r.ended <- run(ctx, cfg, r.reloads, log, func() (*net.TCPListener, error) { return listener, nil })
 	}()
 	t.Cleanup(func() {
 		stop()
--- a/internal/agent/dispatch_test.go
+++ b/internal/agent/dispatch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -66,9 +68,24 @@
 	agenttest.Receive(t, "close of the connection", b.Closed)
 }
 
+// reportLog receives a value when the agent logs that it has got two load reports.
+type reportLog chan struct{}
+
+func (l reportLog) Write(line []byte) (int, error) {
+	_, count, found := strings.Cut(string(line), "load_reports=")
+	if reports, err := strconv.Atoi(strings.TrimSpace(count)); found && err == nil && reports >= 2 {
+		select {
+		case l <- struct{}{}:
+		default:
+		}
+	}
+	return len(line), nil
+}
+
 // Rejections by a server whose load reports show little load do not count as overload: while they last, requests go to
 // the other servers and none is shed.
 func TestRejectionsShedNothing(t *testing.T) {
+	t.Parallel()
 	const initial, extra = 16, 5
 	isHealthCheck := func(req *http.Request) bool { return req.URL.Path == protocol.PathLoad }
 	report := "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=1,recent_ms=50"
@@ -88,8 +105,11 @@
 		return agenttest.OKResponse, false
 	})
 	// With a tick of 5 s, one health check of each server is enough for the whole test.
-	a := startWith(t, strings.NewReplacer(`"off"`, `"on_probe"`, `"tick":5`, `"tick":5000`,
-		`"maxAttempts":3`, `"maxAttempts":20,"probes":true`).Replace(agenttest.Settings), x, y)
+	l := agenttest.NewDiscovery(t, agenttest.List(1, true, agenttest.Member("x", x.Addr, "Ready", 0), agenttest.Member("y", y.Addr, "Ready", 1)))
+	reported := make(reportLog, 1)
+	a := launchWithLog(t, agenttest.Config(t, l.Listener.Addr().String(), strings.NewReplacer(`"off"`, `"on_probe"`, `"tick":5`, `"tick":5000`,
+		`"maxAttempts":3`, `"maxAttempts":20,"probes":true`).Replace(agenttest.Settings)), slog.New(slog.NewTextHandler(reported, nil)))
+	a.awaitReady(t)
 	statuses := make(chan int, initial+extra)
 	send := func() {
 		status, _ := a.do(t, a.request("unsafe", "15000m"))
@@ -113,6 +133,8 @@
 			t.Fatalf("got %d and %d requests, want %d in total", atX, atY, initial)
 		}
 	}
+	// A rejection by a server whose load is not known yet counts as overload, so the reports must have reached the balancer.
+	agenttest.Receive(t, "load reports of both servers", reported)
 	close(reject)
 	awaitAtY := func(n int) {
 		for atY < n {
