Give up a hung poll at a migration sooner, and poll the new service in turn

After a migration away from a service that began to hang 2 or 4 s before, up to 100 of 600 agents heard from the new one up to 3.2 s too late (TestMigrationFromAServiceThatHangs). The poll at the old service went on for 1.5 s after the migration, however long it had lasted; then little was left of the old bound, so all agents called the new service at once, and those whose calls waited too long were refused. A poll may now last for 1.5 s in all if discovery migrates meanwhile, and after the first migration since the last list the agents call in turn within 1.2 s at least.

Turns at each migration of a series fail TestLongSeriesOfReloads, and keeping the earlier turn at a later migration fails TestReloadsInSuccession.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -49,6 +49,7 @@
 
 	pollFailures   int    // consecutive failed polls
 	pollRejections int    // consecutive rejected polls
+	migrations     int    // of discovery since the last list
 	pollTimers     uint64 // number of poll timers set; only the latest one triggers a poll
 
 	logLines       int // log lines since logWindowStart
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -83,6 +83,7 @@
 	b.candidateEpoch++
 	b.pollFailures = 0
 	b.pollRejections = 0
+	b.migrations = 0
 	if ev.Update == EndpointsCached && b.settings.PollEndpoints {
 		b.schedulePoll(ev)
 	}
--- a/internal/balancer/polling.go
+++ b/internal/balancer/polling.go
@@ -15,6 +15,11 @@
 	// startPollWindow is the time within which all agents that start together poll once. An agent serves no client
 	// before its first poll, so the window is no longer than needed by a service that can respond to all agents in time.
 	startPollWindow = NotifyBoundAfterFailure / 2
+	// migrationPollWindow is the least time within which the agents poll once after a migration, even if less remains of
+	// the bound of what they had missed before: at a service that they all called at once, those whose calls wait too long
+	// would be later still. It applies to the first migration since the last list, or a series of migrations would put
+	// the poll off for as long as it lasts.
+	migrationPollWindow = 4 * minPollInterval
 	// pollReserve is the part of the remaining time that is reserved for a lost poll and one more poll.
 	pollReserve = 1500 * time.Millisecond
 	// maxQuickPolls is how many consecutive rejected polls are followed by an early poll. A service that is down also
@@ -50,6 +55,7 @@
 			b.pollRejections = 0
 		}
 	case DiscoveryMigrated:
+		b.migrations++
 		b.pollFailures = 1
 		b.pollRejections = 0
 	}
@@ -69,6 +75,9 @@
 	roundSeconds := max(minPollInterval, ev.PollLatency).Seconds() * float64(b.settings.Agents)
 	slot := (float64(b.settings.Rank) + b.rng.Float64()) / float64(b.settings.Agents)
 	window := b.pollWindow(ev.Remaining)
+	if ev.Update == DiscoveryMigrated && b.migrations == 1 {
+		window = max(window, migrationPollWindow)
+	}
 	if ev.Update == EndpointsCached { // the age of the list is unknown, and clients wait
 		window = min(window, startPollWindow)
 	}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// oldTargetGrace is how long a poll may continue after a migration. The platform allows the old address to close
-	// open connections after this time.
+	// oldTargetGrace is how long a poll may last if discovery migrates meanwhile. The platform allows the old address to
+	// close open connections this time after the migration.
 	oldTargetGrace = 1500 * time.Millisecond
 	// maxParallelCalls is the number of calls of one poll that can be in flight: the first and a hedge.
 	maxParallelCalls = 2
@@ -29,14 +29,16 @@
 // queued one, and a cancelled call costs the service as much as an answered one.
 //
 // An unusable response ends the poll, since it counts as notified; any other error ends it once no call is in flight.
-// When discovery migrates, which ends targetCtx, calls in flight may continue for oldTargetGrace. If they were
-// cancelled immediately, a series of migrations would leave the agent without a list for as long as the series lasts.
+// When discovery migrates, which ends targetCtx, calls in flight may continue until the poll has lasted for
+// oldTargetGrace. If they were cancelled immediately, a series of migrations would leave the agent without a list for as
+// long as the series lasts; a poll that has lasted for longer is probably at a service that hangs.
 func (c *Client) poll(ctx, targetCtx context.Context) (EndpointList, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Nothing waits for calls that are still in flight at the end: their context is cancelled, and the channel has room
 	// for their results.
 	results := make(chan callResult, maxParallelCalls)
+	began := time.Now()
 	open := 0
 	rejected := 0
 	start := func() {
@@ -72,7 +74,7 @@
 		case <-migrated:
 			migrated = nil
 			hedge = nil
-			grace := time.AfterFunc(oldTargetGrace, cancel)
+			grace := time.AfterFunc(oldTargetGrace-time.Since(began), cancel)
 			defer grace.Stop()
 		}
 	}
