Do not blame the server when a client leaves during a long response

The read from the server is aborted then by closing its connection, and the attempt ended as a reset by the server, which counts towards its ejection. It now ends as cancelled. TestClientThatLeavesIsNotServersFault fails on the program before.

--- a/internal/stream/download.go
+++ b/internal/stream/download.go
@@ -63,6 +63,9 @@
 		if err == io.EOF {
 			return d.conn.SetReadDeadline(time.Time{})
 		}
+		if err != nil && ctx.Err() != nil { // the client has left, and the read was aborted
+			return fmt.Errorf("%w: %w", ErrNotRead, context.Cause(ctx))
+		}
 		if err != nil {
 			return fmt.Errorf("reading the rest of a response: %w", err)
 		}
--- a/internal/stream/download_test.go
+++ b/internal/stream/download_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -64,3 +65,31 @@
 		}
 	})
 }
+
+// Guards against counting a client that leaves during a long response as a reset by its server, which could get a healthy
+// server ejected.
+func TestClientThatLeavesIsNotServersFault(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			server, agent := net.Pipe()
+			defer server.Close()
+			ctx, leave := context.WithCancel(t.Context())
+			go func() {
+				_, _ = io.WriteString(server, "piece")
+				time.Sleep(time.Second)
+				if leaves {
+					leave()
+				} else {
+					server.Close()
+				}
+			}()
+			d := NewDownload(100, nil, agent, agent, func() { agent.Close() })
+			_ = d.CopyTo(ctx, deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1))
+			if err := <-d.Done(); err == nil || errors.Is(err, ErrNotRead) != leaves {
+				t.Errorf("client leaves %v: the attempt got error %v", leaves, err)
+			}
+			leave()
+			synctest.Wait()
+		})
+	}
+}
