Let a response without a retry pause until the latency objective, not the deadline

Up to the objective a failure costs no more than an earlier one, and a response that never ends occupies its connections for less time.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,7 +50,9 @@
 	}
 	options := &upstream.Attempt{
 		Deadline: time.Now().Add(remaining), LoadFields: l.settings.Load().ReportFields, Abandoned: r.hasEnded,
-		Patient: r.Settings.Balancer.Classes[r.Class].Idempotency == balancer.NonIdempotent,
+	}
+	if class := &r.Settings.Balancer.Classes[r.Class]; class.Idempotency == balancer.NonIdempotent {
+		options.PauseUntil = time.Now().Add(class.LatencyObjective)
 	}
 	if a.DispatchWithin > 0 {
 		options.SendBefore = time.Now().Add(a.DispatchWithin)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,8 +44,9 @@
 	Timer *time.Timer
 	// SendBefore is when it is too late to send the request; the zero time means never.
 	SendBefore time.Time
-	// Patient is set if the request cannot be sent again. A response may then pause until the deadline.
-	Patient bool
+	// PauseUntil is until when a response that is being buffered may pause, if that is later than maxResponsePause allows.
+	// It is for requests that cannot be sent again.
+	PauseUntil time.Time
 	// Abandoned reports whether nobody waits for the response any more; nil means never.
 	Abandoned func() bool
 	// LoadFields are the field names that a load report may contain.
@@ -216,7 +217,7 @@
 	if a.Forward == nil {
 		memory = nil // the response cannot be streamed
 	}
-	response, err := c.readResponse(memory, a.Patient)
+	response, err := c.readResponse(memory, a.PauseUntil)
 	if err != nil || response.rest == nil {
 		return response, err
 	}
--- a/internal/upstream/readresponse.go
+++ b/internal/upstream/readresponse.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// responseHeadTimeout is how long the head of a response may take from its first byte to its last, unless the attempt
-	// is patient.
+	// responseHeadTimeout is how long the head of a response may take from its first byte to its last, unless
+	// Attempt.PauseUntil is later.
 	responseHeadTimeout = time.Second
-	// maxResponsePause is how long a server may pause within a response that is being buffered, unless the attempt is
-	// patient.
+	// maxResponsePause is how long a server may pause within a response that is being buffered, unless
+	// Attempt.PauseUntil is later.
 	maxResponsePause = time.Second
 	// MaxBufferTime is how long the beginning of a response that is long or of unknown length is buffered before it is
 	// forwarded: in this time the response may turn out to be short, or the connection may break.
@@ -41,10 +41,10 @@
 	memory *stream.Reservation
 }
 
-// readResponse reads one response. A patient call waits for each part of it until the connection is closed.
-func (c *conn) readResponse(memory *stream.Memory, patient bool) (*serverResponse, error) {
+// readResponse reads one response.
+func (c *conn) readResponse(memory *stream.Memory, pauseUntil time.Time) (*serverResponse, error) {
 	c.limit.N = protocol.MaxHeadBytes
-	head, err := c.readHead(patient)
+	head, err := c.readHead(pauseUntil)
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 	if !ok {
 		return &serverResponse{head: head, rest: head.Body}, nil
 	}
-	body, complete, err := c.readBody(head, short, patient)
+	body, complete, err := c.readBody(head, short, pauseUntil)
 	if err != nil {
 		reserved.Release()
 		return nil, err
@@ -75,12 +75,12 @@
 }
 
 // readHead reads the head of a response and skips informational (1xx) responses.
-func (c *conn) readHead(patient bool) (*http.Response, error) {
+func (c *conn) readHead(pauseUntil time.Time) (*http.Response, error) {
 	for {
 		if _, err := c.buffered.Peek(1); err != nil {
 			return nil, err
 		}
-		if err := c.limitPause(responseHeadTimeout, patient); err != nil {
+		if err := c.limitPause(responseHeadTimeout, pauseUntil); err != nil {
 			return nil, err
 		}
 		head, err := http.ReadResponse(c.buffered, nil)
@@ -102,7 +102,7 @@
 // readBody reads a short body to its end. Of any other body it reads the beginning: as much as can be buffered, or
 // arrives within MaxBufferTime. If the connection breaks in the beginning, the attempt fails here, before any of the
 // response was forwarded to the client.
-func (c *conn) readBody(head *http.Response, short, patient bool) (body []byte, complete bool, err error) {
+func (c *conn) readBody(head *http.Response, short bool, pauseUntil time.Time) (body []byte, complete bool, err error) {
 	if short {
 		body = make([]byte, 0, head.ContentLength+1)
 	}
@@ -111,7 +111,7 @@
 		if !short && !c.readableBefore(start.Add(MaxBufferTime)) {
 			return body, false, nil
 		}
-		if err := c.limitPause(maxResponsePause, patient); err != nil {
+		if err := c.limitPause(maxResponsePause, pauseUntil); err != nil {
 			return nil, false, err
 		}
 		if len(body) == cap(body) {
@@ -130,12 +130,13 @@
 	}
 }
 
-// limitPause sets the read deadline for the next part of a response. A patient call has none.
-func (c *conn) limitPause(limit time.Duration, patient bool) error {
-	if patient {
-		return c.SetReadDeadline(time.Time{})
+// limitPause sets the read deadline for the next part of a response.
+func (c *conn) limitPause(limit time.Duration, pauseUntil time.Time) error {
+	deadline := time.Now().Add(limit)
+	if deadline.Before(pauseUntil) {
+		deadline = pauseUntil
 	}
-	return c.SetReadDeadline(time.Now().Add(limit))
+	return c.SetReadDeadline(deadline)
 }
 
 // readableBefore reports whether more of a response arrives before the deadline. It does not read from the body,
