Bound the memory of long heads together with that of bodies

Heads of over 4 KiB now reserve their length, and a request whose head gets no room is rejected. The parsed headers are dropped once the head for the server exists, and an attempt writes that head without copying it. TestLongHeadsAreBounded guards it.

--- a/internal/agent/memory_test.go
+++ b/internal/agent/memory_test.go
@@ -119,3 +119,48 @@
 		}
 	}
 }
+
+// Guards against long heads that are held without regard to the memory: requests whose heads are too many are rejected.
+func TestLongHeadsAreBounded(t *testing.T) {
+	const requests, headBytes, limit = 40, 30_000, 8 << 20 / 16 // bytes of 8 MB
+	hold := make(chan struct{})
+	var arrived atomic.Int64
+	cfg := streamingConfig(t, agenttest.Settings, func(_ http.ResponseWriter, r *http.Request) {
+		if len(r.Header.Get("X-Long")) == headBytes {
+			arrived.Add(1)
+		}
+		<-hold
+	})
+	cfg.MemoryMB, cfg.AdminAddr = 8, freeAddr(t)
+	t.Setenv("TMPDIR", t.TempDir())
+	a := start(t, cfg)
+	statuses := make(chan int, requests)
+	for range requests {
+		req := a.request("unsafe", "15000m")
+		req.Header.Set("X-Long", strings.Repeat("x", headBytes))
+		go func() {
+			status, _ := a.do(t, req)
+			statuses <- status
+		}()
+	}
+	const fit = limit / headBytes
+	for range requests - fit { // these do not wait for the server
+		if status := agenttest.Receive(t, "rejection", statuses); status != protocol.StatusRejected {
+			t.Errorf("got status %d while %d requests are open, want %d", status, arrived.Load(), protocol.StatusRejected)
+		}
+	}
+	close(hold)
+	for range fit {
+		if status := agenttest.Receive(t, "response", statuses); status != http.StatusOK {
+			t.Errorf("got status %d for a request that fits, want 200", status)
+		}
+	}
+	if arrived.Load() != fit {
+		t.Errorf("%d requests arrived at the server, want %d", arrived.Load(), fit)
+	}
+	for started := time.Now(); !strings.Contains(consoleCall(t, cfg.AdminAddr, "vars\n"), "gw_buffered_bytes 0\n"); time.Sleep(10 * time.Millisecond) {
+		if time.Since(started) > agenttest.Timeout {
+			t.Fatal("the memory of the heads is not released")
+		}
+	}
+}
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -76,6 +76,11 @@
 		return
 	}
 	x := &exchange{w: w, r: r, conn: connOf(r), request: request}
+	if errors.Is(err, errNoMemory) && h.listener.beginRequest(x.conn) {
+		w.Header().Set("Connection", "close") // the body has not been read
+		h.rejectOverLimit(x)
+		return
+	}
 	if err != nil || !h.listener.beginRequest(x.conn) { // the connection has ended
 		if request != nil {
 			request.Memory.Release()
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,6 +37,9 @@
 		protocol.HeaderBudget, protocol.HeaderRetry, protocol.HeaderIdempotencyKey}
 )
 
+// errNoMemory is returned for a request whose head is too long for the memory that is left.
+var errNoMemory = errors.New("no memory for the head of the request")
+
 // badRequestError is the error for a malformed request, with the status and the text of the response.
 type badRequestError struct {
 	status int
@@ -71,6 +75,12 @@
 	if err != nil {
 		return nil, err
 	}
+	reserved, ok := h.memory.TryReserve(headBytes(r))
+	if !ok {
+		request.Upstream = &upstream.Request{}
+		return request, errNoMemory
+	}
+	request.Memory = reserved
 	conn := connOf(r)
 	control := http.NewResponseController(w)
 	body, upload, err := h.readBody(r, request, stream.NewPacedReader(r.Body, control, conn.requestStart()), conn)
@@ -89,9 +99,21 @@
 		return request, err
 	}
 	request.Upstream = upstream.NewRequest(r.Method, r.RequestURI, r.Host, r.Header, body, upload)
+	clear(r.Header) // the request has a copy
 	return request, nil
 }
 
+// headBytes returns about how long the head of a request is.
+func headBytes(r *http.Request) int64 {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
 // removeHopHeaders removes the hop-by-hop headers. This precedes all checks, because the Connection header may name a
 // header that is checked.
 func removeHopHeaders(header http.Header) {
@@ -190,17 +212,17 @@
 	if !fits {
 		return nil, stream.NewUpload(r.ContentLength, nil, source, client), nil
 	}
-	request.Memory = reserved
+	defer func() { request.Memory = request.Memory.Join(reserved) }()
 	if r.ContentLength >= 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(source, body)
 		return body, nil, err
 	}
 	body, err = io.ReadAll(io.LimitReader(source, stream.MaxBufferedBytes+1))
+	reserved.Shrink(int64(cap(body)))
 	if len(body) > stream.MaxBufferedBytes {
 		return nil, stream.NewUpload(r.ContentLength, body, source, client), err
 	}
-	reserved.Shrink(int64(cap(body)))
 	return body, nil, err
 }
 
--- a/internal/stream/memory.go
+++ b/internal/stream/memory.go
@@ -6,8 +6,8 @@
 // its own buffers.
 const uncountedBytes = 4 << 10
 
-// Memory bounds the bytes of the bodies and responses that are buffered at the same time. What does not fit is streamed
-// instead. A nil Memory has no bound. Any goroutine may call its methods.
+// Memory bounds the bytes of the heads, bodies and responses that are buffered at the same time. A body or response that
+// does not fit is streamed instead. A nil Memory has no bound. Any goroutine may call its methods.
 type Memory struct {
 	limit, used atomic.Int64
 	onChange    func(bytes int64)
@@ -53,6 +53,17 @@
 	bytes  atomic.Int64
 }
 
+// Join adds another reservation to this one, and returns the result. It must not be called concurrently with Release.
+func (r *Reservation) Join(other *Reservation) *Reservation {
+	if r == nil {
+		return other
+	}
+	if other != nil {
+		r.bytes.Add(other.bytes.Swap(0))
+	}
+	return r
+}
+
 // Shrink releases all but n bytes. It must not be called concurrently with Release.
 func (r *Reservation) Shrink(n int64) {
 	if r != nil && n < r.bytes.Load() {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -39,13 +39,11 @@
 // Upload returns the body that is too large to buffer, or nil if there is none.
 func (r *Request) Upload() *stream.Upload { return r.upload }
 
-// writeTo writes the request with the given remaining time in its budget header. An upload is not included. The body is
-// not copied: with each attempt that would take as much memory as the request itself.
+// writeTo writes the request with the given remaining time in its budget header. An upload is not included. Head and body
+// are not copied: with each attempt that would take as much memory as the request itself.
 func (r *Request) writeTo(c *conn, budget time.Duration) error {
-	head := make([]byte, 0, len(r.head)+len(protocol.HeaderBudget)+32)
-	head = append(head, r.head...)
-	head = fmt.Appendf(head, "%s: %s\r\n\r\n", protocol.HeaderBudget, protocol.FormatBudget(budget))
-	parts := net.Buffers{head}
+	end := fmt.Appendf(nil, "%s: %s\r\n\r\n", protocol.HeaderBudget, protocol.FormatBudget(budget))
+	parts := net.Buffers{r.head, end}
 	if len(r.body) > 0 {
 		parts = append(parts, r.body)
 	}
