Count a hung poll towards the next wait even if discovery may be overloaded

A service that took calls and answered none for 15 or 30 s left up to 85 of 1,200 agents up to 1.5 s too late at its return, and 1 of 120 after 4 s (TestChangesArriveAfterBlackhole): after four timeouts, or while the latency suggests an overload, a poll of 3 s was followed by a wait of up to 4.5 s, 7.5 s in all where 6 s are allowed. All but 1.5 s of the poll's time counts now, so that the two take 6 s at most; where no overload is possible all of it counts, as before.

--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -116,7 +116,7 @@
 	Remaining time.Duration
 	// PollLatency is the time that the discovery service needs for a poll; 0 if unknown.
 	PollLatency time.Duration
-	// PollElapsed is the time since the failed poll began if it counts towards the delay of the next one, otherwise 0.
+	// PollElapsed is the part of the time since the failed poll began that counts towards the delay of the next one.
 	PollElapsed time.Duration
 	// Retry means that the client marked the request as a retry.
 	Retry bool
--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -22,6 +22,10 @@
 	// overloadTimeouts consecutive timeouts are enough if the measured latency shows that the service cannot answer all
 	// agents within the bound.
 	overloadTimeouts = 4
+	// overloadReserve is how much of a failed poll does not count towards the wait for the next one if the service may be
+	// overloaded, so that agents poll less often: a poll of pollTimeout and the longest wait then take as long as the
+	// bound. If none of it counted, an agent could miss the bound of what changes when a service that hung responds again.
+	overloadReserve = balancer.NotifyBoundAfterFailure / 4
 	// maxPauseDoublings bounds how often the pause between polls of an overloaded service doubles.
 	maxPauseDoublings = 4
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -269,8 +269,11 @@
 			event.Remaining = alreadyNotified
 		}
 		event.PollLatency = c.latency.fleetPollTime(c.agents()) / time.Duration(c.agents())
-		if update == balancer.PollFailed && !c.overload.possible(&c.latency, c.agents()) {
+		if update == balancer.PollFailed {
 			event.PollElapsed = c.lastCall.duration()
+			if c.overload.possible(&c.latency, c.agents()) {
+				event.PollElapsed = max(0, event.PollElapsed-overloadReserve)
+			}
 		}
 	}
 	c.notify(event)
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -15,7 +15,7 @@
 	Remaining           time.Duration // until what was missed counts as notified; 0 if unknown
 	RejectedImmediately bool          // the poll failed immediately, without costing the service work
 	PollLatency         time.Duration // estimated time that the service takes for one poll; 0 if unknown
-	PollElapsed         time.Duration // duration of the failed poll if it counts towards the wait for the next, else 0
+	PollElapsed         time.Duration // the part of the failed poll's duration that counts towards the wait for the next
 	Revision            uint64        // of the list, or of the last change; 0 if the list must be polled again
 	Source              string        // address of the service whose list it is, also if a relay sent it; empty for a failure
 }
