--- a/internal/scale/world/world.go
+++ b/internal/scale/world/world.go
@@ -2,6 +2,9 @@
 // configurations of the agents and the steps of the events. The same scenario gives the same world in every process. A
 // World is immutable after Generate and AddEcho and may then be read by several goroutines. The package starts no
 // goroutines or processes.
+//
+// The same scenario also gives the same world on each kind of machine: a product that is added to something is converted
+// to float64 explicitly, since some processors would fuse the two operations and round once instead of twice.
 package world
 
 import (
