Leave polls of a service that is nearly overloaded as rare as they were

Six agents of a service that needs 6 s for one poll by each of them then polled as often as it can answer, and it stayed congested: TestOverloadedServiceAnswersAllAgents failed in the run with the race detector, which has six agents; with 60 it passed. At a service whose measured latency shows that it needs 4.5 s or more, or that has not answered yet, nothing counts again.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -22,9 +23,12 @@
 	// overloadTimeouts consecutive timeouts are enough if the measured latency shows that the service cannot answer all
 	// agents within the bound.
 	overloadTimeouts = 4
+	// overloadPollTime is the time for one poll by each agent from which on a service may become congested permanently if
+	// agents poll as often as the bound requires.
+	overloadPollTime = 3 * balancer.NotifyBoundAfterFailure / 4
 	// overloadReserve is how much of a failed poll does not count towards the wait for the next one if the service may be
-	// overloaded, so that agents poll less often: a poll of pollTimeout and the longest wait then take as long as the
-	// bound. If none of it counted, an agent could miss the bound of what changes when a service that hung responds again.
+	// overloaded or hang: a poll of pollTimeout and the longest wait then take as long as the bound. If none of it counted,
+	// an agent could miss the bound of what changes when a service that hung responds again.
 	overloadReserve = balancer.NotifyBoundAfterFailure / 4
 	// maxPauseDoublings bounds how often the pause between polls of an overloaded service doubles.
 	maxPauseDoublings = 4
@@ -62,10 +66,18 @@
 	return !o.since.IsZero() && time.Since(o.since) >= overloadTimeoutSpan
 }
 
-// possible reports whether polls may be failing because the service has more callers than it can answer: it has not
-// answered a poll yet, its measured latency suggests it, or polls time out repeatedly.
-func (o *overload) possible(estimate *latencyEstimate, agents int) bool {
-	return estimate.assumed || estimate.exceeds(maxFleetPollTime, agents) || o.timeouts >= overloadTimeouts
+// pollReserve returns how much of the duration of a failed poll does not count towards the wait for the next one, because
+// polls may be failing since the service has more callers than it can answer: all of it if the service has not answered a
+// poll yet or needs overloadPollTime, as agents that kept to the bound would keep it busy with polls that have already
+// timed out; overloadReserve if it is nearly as slow or polls time out repeatedly, as they do at a service that hangs.
+func (o *overload) pollReserve(estimate *latencyEstimate, agents int) time.Duration {
+	switch {
+	case estimate.assumed || estimate.exceeds(overloadPollTime, agents):
+		return math.MaxInt64
+	case o.timeouts >= overloadTimeouts || estimate.exceeds(maxFleetPollTime, agents):
+		return overloadReserve
+	}
+	return 0
 }
 
 // nextPause returns how long not to call discovery. Each consecutive pause is twice the last, up to maxPauseDoublings.
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -270,10 +270,7 @@
 		}
 		event.PollLatency = c.latency.fleetPollTime(c.agents()) / time.Duration(c.agents())
 		if update == balancer.PollFailed {
-			event.PollElapsed = c.lastCall.duration()
-			if c.overload.possible(&c.latency, c.agents()) {
-				event.PollElapsed = max(0, event.PollElapsed-overloadReserve)
-			}
+			event.PollElapsed = max(0, c.lastCall.duration()-c.overload.pollReserve(&c.latency, c.agents()))
 		}
 	}
 	c.notify(event)
