Show that peers at full speed keep sound clients from being answered in time

Callers saw answers 0.1 to 0.5 s after their time while others sent at full speed. TestFlood does not show it: budgets of 5 s, a bound of 500 ms, one peer on one connection.

TestPeersAtFullSpeedDelayNobody runs a real agent with one core beside one to eight peers in a process of their own, with sound clients whose budgets are 120 to 180 ms, on kept and on new connections, and servers that need 5 to 30 ms; each way to send alone and all mixed, with 1,024 and 256 descriptors. Answers at most 20 ms after the budget, none missing, and 95% of what the same agent serves before the peers start.

--- a/cmd/agent/limitedagent_test.go
+++ b/cmd/agent/limitedagent_test.go
@@ -78,6 +78,12 @@
 
 // startLimitedAgent starts an agent with the given limits and endpoint list service, and waits until it is ready.
 func startLimitedAgent(t *testing.T, l limits, discovery string) *limitedAgent {
+	t.Helper()
+	return startLimitedAgentWith(t, l, limitedConfigText, discovery)
+}
+
+// startLimitedAgentWith is startLimitedAgent with the text of a configuration.
+func startLimitedAgentWith(t *testing.T, l limits, configuration, discovery string) *limitedAgent {
 	t.Helper()
 	binary, err := buildAgent()
 	if err != nil {
@@ -86,7 +92,7 @@
 	a := &limitedAgent{t: t, limits: l, listen: uniqueAddr(t), tmp: shortTempDir(t)}
 	a.start = func() *exec.Cmd {
 		console := uniqueAddr(t)
-		cmd, stderr, _ := newAgentCommand(t, fmt.Sprintf(limitedConfigText, a.listen, discovery, console, l.memoryMB, l.sockets))
+		cmd, stderr, _ := newAgentCommand(t, fmt.Sprintf(configuration, a.listen, discovery, console, l.memoryMB, l.sockets))
 		cmd.Path = binary
 		cmd.Env = append(cmd.Env, "TMPDIR="+a.tmp)
 		a.console = console
--- a/cmd/agent/main_test.go
+++ b/cmd/agent/main_test.go
@@ -26,6 +26,10 @@
 		main()
 		os.Exit(0)
 	}
+	if peers := os.Getenv(asPeers); peers != "" {
+		runPeers(peers)
+		os.Exit(0)
+	}
 	status := m.Run()
 	if builtAgentDir != "" {
 		_ = os.RemoveAll(builtAgentDir) // what is left stays in the machine's temporary directory
