Share the processor between connections, and pace what is served without waiting

Callers saw: while one to eight peers sent at full speed, sound requests with 120 to 180 ms were answered up to 0.5 s (1.1 s) after their time, as served, refused or failed, and 2 to 222 requests a second were served in time of 250.

Cause: the agent has one core, and its goroutines take what they can get. The goroutine of a connection whose next bytes have always arrived never waits; the runtime looks for the input of others only when nothing can run, or every 10 ms, so each hop of a sound request waited for a round of the others. Connections that are opened and left were all admitted and served, in order of arrival; requests of new ones waited unread, and their budgets were counted from when they were read.

Change: internal/fairshare owns processor time. It knows nothing of messages. Reads from clients, servers, discovery and the console wait there, before the work is done. A new connection whose client has left is closed without being admitted. A budget counts from when the kernel received the last bytes (TCP_INFO, on no clock that can step). The log has the slowest of each hop.

--- a/cmd/agent/budgets_test.go
+++ b/cmd/agent/budgets_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,8 @@
 	newClients  = 4
 	// waitLimit is how long a client in a hurry waits for an answer before it counts as missing.
 	waitLimit = 3 * time.Second
+	// clientsHost is the address from which clients in a hurry connect. Peers have others, as there is one range of ports for each.
+	clientsHost = "127.0.0.2"
 
 	timeWithoutPeers = 1500 * time.Millisecond
 	timeBesidePeers  = 2500 * time.Millisecond
@@ -133,9 +136,11 @@
 
 func (c *hurriedClient) try(budget time.Duration, start time.Time) (status int, err error) {
 	if c.conn == nil {
-		if c.conn, err = dialSound(c.addr); err != nil {
+		raw, err := dialFrom(clientsHost, c.addr)
+		if err != nil {
 			return 0, err
 		}
+		c.conn = &soundConn{Conn: raw, in: bufio.NewReader(raw)}
 	}
 	remaining := max(time.Millisecond, budget-time.Since(start))
 	c.conn.SetDeadline(start.Add(waitLimit))
--- a/cmd/agent/peers_test.go
+++ b/cmd/agent/peers_test.go
@@ -131,7 +131,7 @@
 	for i := range peers {
 		go func() {
 			for n := i; ; n += peers {
-				useOnce(addr, ways[n%len(ways)])
+				useOnce(fmt.Sprintf("127.0.1.%d", i+1), addr, ways[n%len(ways)])
 			}
 		}()
 	}
@@ -141,9 +141,15 @@
 // mixedConnTime is how long a peer uses a connection before it takes the next way.
 const mixedConnTime = 300 * time.Millisecond
 
-// useOnce sends over one new connection.
-func useOnce(addr string, way peerWay) {
-	c, err := net.Dial("tcp", addr)
+// dialFrom connects from a host of the loopback network.
+func dialFrom(host, addr string) (net.Conn, error) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}, Timeout: waitLimit}
+	return dialer.Dial("tcp", addr)
+}
+
+// useOnce sends over one new connection from a host.
+func useOnce(host, addr string, way peerWay) {
+	c, err := dialFrom(host, addr)
 	if err != nil {
 		time.Sleep(time.Millisecond)
 		return
--- a/internal/admin/console.go
+++ b/internal/admin/console.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"example.org/ryeloft/internal/fairshare"
 )
 
 const (
@@ -31,18 +33,20 @@
 type Console struct {
 	listener net.Listener
 	commands map[string]Command
+	// scheduler shares the processor between the connections; nil if none waits for it.
+	scheduler *fairshare.Scheduler
 
 	mu    sync.Mutex
 	conns []net.Conn // oldest first; guarded by mu
 }
 
 // Listen opens a console on a TCP address. It serves no commands before Serve is called.
-func Listen(ctx context.Context, addr string, commands map[string]Command) (*Console, error) {
+func Listen(ctx context.Context, addr string, commands map[string]Command, scheduler *fairshare.Scheduler) (*Console, error) {
 	l, err := new(net.ListenConfig).Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("opening the console: %w", err)
 	}
-	return &Console{listener: l, commands: commands}, nil
+	return &Console{listener: l, commands: commands, scheduler: scheduler}, nil
 }
 
 // Addr returns the console's address.
@@ -51,8 +55,11 @@
 // Serve serves commands until the console is closed. It does not wait for commands that are still running then:
 // commandTimeout bounds them, and their effects do not outlive the process.
 func (c *Console) Serve() {
+	account := c.scheduler.Accepting()
 	for {
+		account.Await()
 		conn, err := c.listener.Accept()
+		account.Start()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -60,6 +67,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		conn = fairshare.NewConn(conn, c.scheduler.Accepted())
 		c.add(conn)
 		go func() {
 			defer c.remove(conn)
--- a/internal/admin/console_test.go
+++ b/internal/admin/console_test.go
@@ -27,7 +27,7 @@
 // Connections that send nothing fill the console's connection limit. They must not delay the reply to another caller.
 func TestIdleConnectionsDoNotDelayReplies(t *testing.T) {
 	commands := map[string]Command{"check": func(io.Writer) error { return nil }}
-	c, err := Listen(t.Context(), "127.0.0.1:0", commands)
+	c, err := Listen(t.Context(), "127.0.0.1:0", commands, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"example.org/ryeloft/internal/config"
 	"example.org/ryeloft/internal/discovery"
 	"example.org/ryeloft/internal/dispatch"
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/handover"
 	"example.org/ryeloft/internal/inbound"
 	"example.org/ryeloft/internal/metrics"
@@ -44,7 +45,7 @@
 		return err
 	}
 	if cfg.AdminAddr != "" {
-		console, err := admin.Listen(ctx, cfg.AdminAddr, a.commands())
+		console, err := admin.Listen(ctx, cfg.AdminAddr, a.commands(), a.scheduler)
 		if err != nil {
 			return err
 		}
@@ -102,6 +103,7 @@
 	cfg       *config.Config
 	log       *slog.Logger
 	metrics   *metrics.Metrics
+	scheduler *fairshare.Scheduler
 	pool      *upstream.Pool
 	loop      *dispatch.Loop
 	discovery *discovery.Client
@@ -115,7 +117,9 @@
 	limits := handover.LimitsFor(cfg, 1)
 	a := &agent{cfg: cfg, log: log, metrics: &metrics.Metrics{}}
 	buffered := stream.NewMemory(limits.BufferedBytes, a.metrics.BufferedBytesChanged)
+	a.scheduler = fairshare.New(cfg.Cores, func(wait time.Duration) { a.metrics.HopTook(metrics.HopProcessor, wait) })
 	a.pool = upstream.NewPool(&cfg.Settings, limits.ServerConns, buffered, a.metrics)
+	a.pool.ShareProcessor(a.scheduler)
 	var err error
 	a.loop, err = dispatch.New(dispatch.Options{
 		Settings: &cfg.Settings, Seed: cfg.Seed, Pool: a.pool, Metrics: a.metrics, Log: log,
@@ -127,12 +131,12 @@
 	}
 	a.discovery = discovery.New(discovery.Options{
 		Addr: cfg.Discovery, Settings: a.loop.Settings, Notify: a.loop.NotifyEndpoints, OnPoll: a.metrics.PollEnded, Log: log,
-		Name: cfg.Name, Relays: cfg.Relays,
+		Name: cfg.Name, Relays: cfg.Relays, Scheduler: a.scheduler,
 	})
 	a.discovery.StartFrom(cfg.CachedEndpoints)
 	a.clients = inbound.New(inbound.Options{
 		Dispatcher: a.loop, Metrics: a.metrics, Buffers: stream.NewBuffers(limits.StreamBytes), Memory: buffered,
-		MaxRequests: limits.MaxRequests(), MaxEvicted: handover.MaxEvictedConns, Log: log, Done: workCtx.Done(),
+		MaxRequests: limits.MaxRequests(), MaxEvicted: handover.MaxEvictedConns, Scheduler: a.scheduler, Log: log, Done: workCtx.Done(),
 	})
 	a.quotas = handover.NewQuotas(cfg, a.clients.Listener(), a.pool, buffered, a.loop)
 	return a, nil
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/balancer"
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/settings"
 )
 
@@ -36,6 +37,7 @@
 	WatchWait  time.Duration                          // how long a watch waits in push mode; 0: defaultWatchWait
 	OnResponse func(began time.Time, revision uint64) // called after a successful call, once Notify has returned
 	Dial       Dial                                   // nil: a net.Dialer with dialTimeout
+	Scheduler  *fairshare.Scheduler                   // shares the processor between the connections; nil if none waits for it
 }
 
 // Target is the address of the discovery service and of the relays, if any, through which to reach it.
@@ -92,7 +94,7 @@
 		log:           o.Log,
 		name:          o.Name,
 		pushWatchWait: cmp.Or(o.WatchWait, defaultWatchWait),
-		httpClient:    newHTTPClient(o.Dial),
+		httpClient:    newHTTPClient(withAccount(o.Dial, o.Scheduler)),
 		pollRequested: make(chan struct{}, 1),
 		startedAt:     time.Now(),
 		firstRound:    make(chan struct{}),
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/balancer"
+	"example.org/ryeloft/internal/fairshare"
 )
 
 const (
@@ -100,6 +101,20 @@
 	}
 }
 
+// withAccount has the reads of connections wait for processor time.
+func withAccount(dial Dial, s *fairshare.Scheduler) Dial {
+	if s == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return fairshare.NewConn(c, s.Dialed()), nil
+	}
+}
+
 // request describes one call.
 type request struct {
 	url     string
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/balancer"
+	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/settings"
 	"example.org/ryeloft/internal/upstream"
@@ -48,7 +49,8 @@
 		return
 	}
 	options := &upstream.Attempt{
-		Deadline: time.Now().Add(remaining), LoadFields: l.settings.Load().ReportFields, Abandoned: r.hasEnded,
+		OnWritten: l.timeSending(r),
+		Deadline:  time.Now().Add(remaining), LoadFields: l.settings.Load().ReportFields, Abandoned: r.hasEnded,
 	}
 	if class := &r.Settings.Balancer.Classes[r.Class]; class.Idempotency == balancer.NonIdempotent {
 		options.PauseUntil = time.Now().Add(class.LatencyObjective)
@@ -76,6 +78,16 @@
 	}()
 }
 
+// timeSending returns a function that charges the request and records how long it took until that was called.
+func (l *Loop) timeSending(r *openRequest) func() {
+	began := time.Now()
+	charge := r.Account.Timer()
+	return func() {
+		charge()
+		l.metrics.HopTook(metrics.HopSent, time.Since(began))
+	}
+}
+
 // hasNoRoomForSecond reports whether an attempt would be a second one beside another of its request, beyond the limit. The
 // others of a request that was admitted are within the limit, even if that has been lowered since.
 func (l *Loop) hasNoRoomForSecond(r *openRequest) bool {
@@ -103,7 +115,7 @@
 
 // clientResponse returns a server's response as it is passed on to the client.
 func clientResponse(response upstream.Response) Response {
-	return Response{Status: http.StatusOK, ContentType: response.ContentType, Body: response.Body, Memory: response.Memory, Download: response.Download}
+	return Response{Status: http.StatusOK, Arrived: time.Now(), ContentType: response.ContentType, Body: response.Body, Memory: response.Memory, Download: response.Download}
 }
 
 // startHealthCheck starts a health check of a server. If the server has no endpoint, the check expires without being
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"example.org/ryeloft/internal/balancer"
 	"example.org/ryeloft/internal/discovery"
+	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/settings"
 )
@@ -72,7 +74,9 @@
 
 func (in submitted) handle(ctx context.Context, l *Loop) {
 	r := in.request
+	defer r.Account.Timer()()
 	l.metrics.RequestDispatched()
+	l.metrics.HopTook(metrics.HopQueued, time.Since(r.Received))
 	if !r.translate(l.settings.Load()) {
 		l.ids.close(r.idHash)
 		r.end()
@@ -116,6 +120,7 @@
 func (in attemptEnded) handle(ctx context.Context, l *Loop) {
 	l.metrics.AttemptEnded(in.outcome, in.load)
 	r := l.requests[in.request]
+	defer r.Account.Timer()()
 	r.cancelAttempt[in.attempt]()
 	r.inFlight--
 	if in.abandoned && !r.ended.Load() {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/balancer"
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/settings"
 	"example.org/ryeloft/internal/stream"
 	"example.org/ryeloft/internal/upstream"
@@ -23,6 +24,9 @@
 	Deadline  time.Duration       // on the loop's clock
 	Upstream  *upstream.Request   // what is sent to a server
 	Memory    *stream.Reservation // of the body; released when the request and its attempts have ended
+	Received  time.Time           // when its last byte was read, or the first bytes of an upload
+	// Account is charged for the request's work; nil if the processor is not shared.
+	Account *fairshare.Account
 	// ClientClosed reports whether the client has closed its connection. Any goroutine may call it.
 	ClientClosed func() bool
 
@@ -67,6 +71,7 @@
 type Response struct {
 	Status      int           // 0: no response, because the client has closed its connection
 	RetryAfter  time.Duration // 0: no Retry-After header
+	Arrived     time.Time     // when the server's response had been read; the zero time if there is none
 	ContentType string
 	Body        []byte
 	Memory      *stream.Reservation // of Body; released by the handler, or by Drop
--- a/internal/inbound/admission.go
+++ b/internal/inbound/admission.go
@@ -208,6 +208,7 @@
 	case http.StateIdle:
 		l.connIdle(c)
 	case http.StateClosed:
+		c.account.Pause()
 		if c.removed {
 			l.evicted--
 			l.endedConn.Broadcast()
--- a/internal/inbound/clientconn.go
+++ b/internal/inbound/clientconn.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/clock"
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/framing"
 	"example.org/ryeloft/internal/stream"
 )
@@ -48,6 +50,7 @@
 
 	startInstant   atomic.Int64 // clock.Instant when the current request began, or when the client connected if none has
 	arrivalInstant atomic.Int64 // clock.Instant when a read last received bytes that it had waited for
+	account        *fairshare.Account
 	requests       framing.Requests
 	rejected       bool                // the current request was rejected before its head was complete
 	parsing        *stream.Reservation // of the memory for the head of the current request, until the handler takes it
@@ -58,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{TCPConn: tcp, raw: raw, listener: l}
+	c := &clientConn{TCPConn: tcp, raw: raw, listener: l, account: l.scheduler.Accepted()}
 	if err := raw.Control(func(fd uintptr) { c.fd = int32(fd) }); err != nil {
 		return nil, err
 	}
@@ -67,11 +70,16 @@
 }
 
 // Read implements net.Conn. It detects the start of a request, because net/http reports a request only when its head is
-// complete, and applies the idle timeout to its first bytes.
+// complete, and applies the idle timeout to its first bytes. It waits for processor time if the client has used much; the
+// requests of a client that has left meanwhile are not read.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	if c.rejected {
 		return 0, errHeadRejected
 	}
+	if c.account.Await() && c.closedByClient() {
+		return 0, io.EOF
+	}
+	defer c.account.Start()
 	inHead := c.requests.InHead()
 	begins, waited := false, false
 	if rawErr := c.raw.Read(func(fd uintptr) bool {
@@ -101,6 +109,14 @@
 	return n, nil
 }
 
+// Write implements net.Conn.
+func (c *clientConn) Write(p []byte) (int, error) {
+	if c.account == nil {
+		return c.TCPConn.Write(p)
+	}
+	return fairshare.WriteCharged(c.TCPConn, c.raw, c.account, p)
+}
+
 // startRequest records the start of a request that is not the first, and sets the read deadline for its head.
 func (c *clientConn) startRequest() {
 	if !c.reused {
@@ -143,7 +159,9 @@
 	}
 	var buffer [lingerBufferBytes]byte
 	for n := 0; n < lingerBytes; {
+		c.account.Await()
 		read, err := c.TCPConn.Read(buffer[:])
+		c.account.Start()
 		if err != nil {
 			return
 		}
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -132,6 +132,7 @@
 		h.metrics.RequestOpened()
 		defer h.metrics.RequestClosed()
 	}
+	x.conn.account.Pause()
 	defer h.openRequests.Add(-1)
 	if h.openRequests.Add(1) > h.maxRequests || !h.dispatcher.Admit(x.r.Context(), x.request) {
 		x.request.Memory.Release()
@@ -143,12 +144,18 @@
 	}
 	h.dispatcher.Submit(x.request)
 	response := h.awaitResponse(x)
+	x.conn.account.Start()
 	defer response.Memory.Release()
 	if response.Download != nil {
 		h.respondWithDownload(x, response)
-	} else {
-		h.respond(x, response)
+		return
+	}
+	began := time.Now()
+	if !response.Arrived.IsZero() {
+		h.metrics.HopTook(metrics.HopReturned, began.Sub(response.Arrived))
 	}
+	h.respond(x, response)
+	h.metrics.HopTook(metrics.HopAnswered, time.Since(began))
 }
 
 // closeUpload closes the upload of a request that has ended.
@@ -174,6 +181,7 @@
 	case <-limit:
 	case <-h.failOpen:
 	case <-x.r.Context().Done():
+		x.conn.account.Start()
 		h.dispatcher.Abandon(x.request)
 		// If a handler returns without a response, net/http sends status 200, which a client that has closed only its
 		// write side would receive.
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"example.org/ryeloft/internal/clock"
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/stream"
 )
@@ -19,6 +20,9 @@
 // admitted.
 const finalAcceptBatch = 2
 
+// dropBatch is how many connections dropLeft accepts at most.
+const dropBatch = 64
+
 // Listener admits client connections and limits their number. At the limit it closes the connection that has been idle
 // longest: if it merely stopped accepting, clients that keep idle connections could lock out all others.
 //
@@ -27,6 +31,9 @@
 type Listener struct {
 	metrics *metrics.Metrics
 	memory  *stream.Memory // for the heads of requests while they are parsed
+	// scheduler shares the processor between the connections, and account is that for accepting them.
+	scheduler *fairshare.Scheduler
+	account   *fairshare.Account
 	// maxEvicted is how many evicted connections may be ending at a time; 0 means any number. Until fewer are, no further
 	// connection is admitted: connections that arrive faster than the goroutines of others end would take more and more
 	// memory.
@@ -39,6 +46,7 @@
 	tcp         *net.TCPListener
 	queued      []*net.TCPConn // accepted by drainQueue, not yet returned by Accept
 	queueClosed bool
+	crowded     bool // the client of the last connection had left, or there was no processor time for it at once
 
 	// mu guards these and the fields of clientConn that say so.
 	mu        sync.Mutex
@@ -53,14 +61,19 @@
 	polled    []pollDescriptor // scratch space of leftByClient
 }
 
-func newListener(m *metrics.Metrics, memory *stream.Memory, maxEvicted int) *Listener {
-	return &Listener{metrics: m, memory: memory, maxEvicted: maxEvicted, released: make(chan struct{}, 1)}
+func newListener(m *metrics.Metrics, memory *stream.Memory, maxEvicted int, scheduler *fairshare.Scheduler) *Listener {
+	return &Listener{
+		metrics: m, memory: memory, maxEvicted: maxEvicted, released: make(chan struct{}, 1),
+		scheduler: scheduler, account: scheduler.Accepting(),
+	}
 }
 
 // Accept returns the next connection that is admitted. Only one goroutine may call it.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		l.prepareAccept()
 		tcp, err := l.nextConn()
+		l.account.Start()
 		if err != nil {
 			return nil, err
 		}
@@ -68,13 +81,46 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.admit(c) {
+		if l.awaitTurn(c) && l.admit(c) {
 			return c, nil
 		}
 		c.closeNow()
 	}
 }
 
+// prepareAccept waits until there is processor time for accepting connections, and drops some whose clients have left. It
+// does neither while the listener is finishing, because other connections arrive all the time.
+func (l *Listener) prepareAccept() {
+	if l.finishing.Load() {
+		l.account.Pause()
+		return
+	}
+	l.account.Await()
+	if l.crowded {
+		l.account.Start()
+		l.dropLeft()
+		l.account.Pause()
+	}
+}
+
+// awaitTurn waits until there is processor time for a new connection. It returns false if the client has left.
+func (l *Listener) awaitTurn(c *clientConn) (stays bool) {
+	l.crowded = c.hasLeft()
+	if l.crowded || l.finishing.Load() {
+		return !l.crowded
+	}
+	l.account.Pause()
+	defer l.account.Start()
+	l.crowded = c.account.AwaitFirst()
+	return !l.crowded || !c.closedByClient()
+}
+
+// hasLeft reports whether the client of a new connection has closed it, and has either sent nothing or cannot be served at
+// once. Clients that connect and leave would otherwise keep those that stay waiting in the queue.
+func (c *clientConn) hasLeft() bool {
+	return c.closedByClient() && (c.listener.scheduler.Busy() || c.unreadBytes() == 0)
+}
+
 // Close closes the listener but not its connections.
 func (l *Listener) Close() error { return l.tcp.Close() }
 
@@ -84,13 +130,13 @@
 // nextConn returns the next connection. Once the listener is finishing, it returns the connections that are left in the
 // queue, and then net.ErrClosed.
 func (l *Listener) nextConn() (*net.TCPConn, error) {
-	if !l.finishing.Load() {
+	if !l.finishing.Load() && len(l.queued) == 0 {
 		tcp, err := l.tcp.AcceptTCP()
 		if err == nil || !l.finishing.Load() {
 			return tcp, err
 		}
 	}
-	for !l.queueClosed && len(l.queued) == 0 {
+	for l.finishing.Load() && !l.queueClosed && len(l.queued) == 0 {
 		var err error
 		l.queued, l.queueClosed, err = l.drainQueue()
 		if err != nil {
@@ -145,6 +191,43 @@
 	return conns, closed, nil
 }
 
+// dropLeft accepts waiting connections and closes them, until there is one whose client has not left. It queues that one, if
+// none is queued yet. It is much cheaper than admitting them.
+func (l *Listener) dropLeft() {
+	if len(l.queued) > 0 {
+		return
+	}
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	stays := -1
+	if err := raw.Control(func(fd uintptr) { stays = closeLeft(int(fd)) }); err != nil || stays < 0 {
+		return
+	}
+	if conn, err := connOfDescriptor(stays); err == nil {
+		l.queued = append(l.queued, conn)
+	}
+}
+
+// closeLeft accepts at most dropBatch connections and closes those whose clients have left. It returns the first one whose
+// client has not, or -1.
+func closeLeft(listener int) (stays int) {
+	for range dropBatch {
+		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if err != nil {
+			return -1 // if this is lasting, the next accept returns it
+		}
+		poll := []pollDescriptor{{fd: int32(fd), events: pollRDHUP}}
+		pollNow(poll)
+		if poll[0].revents == 0 {
+			return fd
+		}
+		_ = syscall.Close(fd) // nobody waits for the end
+	}
+	return -1
+}
+
 // acceptWaiting accepts a batch of the waiting connections, and shuts the listener down if no more are waiting.
 func acceptWaiting(listener int) (fds []int, closed bool) {
 	for len(fds) < finalAcceptBatch {
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -12,6 +12,7 @@
 
 	"example.org/ryeloft/internal/balancer"
 	"example.org/ryeloft/internal/dispatch"
+	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/settings"
 	"example.org/ryeloft/internal/stream"
@@ -87,9 +88,17 @@
 	}
 	budget -= responseMargin(budget)
 	request.Deadline = h.dispatcher.Now() + budget
+	request.Received = time.Now()
+	if upload == nil {
+		unread := conn.unreadTime()
+		h.metrics.HopTook(metrics.HopUnread, unread)
+		request.Deadline -= unread
+	}
 	request.ClientClosed = conn.closedByClient
+	request.Account = conn.account
 	if upload != nil {
 		upload.Budget = budget
+		upload.ChargeReads(conn.account)
 		conn.limitReceiveBuffer()
 	} else if err := control.SetReadDeadline(time.Time{}); err != nil {
 		// The deadline is cleared because from here on net/http watches the connection for a close by the client, for
--- a/internal/inbound/response.go
+++ b/internal/inbound/response.go
@@ -56,7 +56,7 @@
 func (h *clientHandler) respondWithDownload(x *exchange, response dispatch.Response) {
 	h.closeAfterUpload(x)
 	h.writeHead(x.w, response, response.Download.Length())
-	err := response.Download.CopyTo(x.r.Context(), x.w, h.buffers)
+	err := response.Download.CopyTo(x.r.Context(), x.w, h.buffers, x.conn.account)
 	if err == nil {
 		h.metrics.RequestAnswered(x.request.ClassName, metrics.ResultOK)
 		return
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/protocol"
 	"example.org/ryeloft/internal/stream"
@@ -30,6 +31,7 @@
 	Memory      *stream.Memory // for the heads and the buffered bodies of requests
 	MaxRequests int            // the maximum number of open requests; more are rejected
 	MaxEvicted  int            // the maximum number of evicted connections that are ending
+	Scheduler   *fairshare.Scheduler
 	Log         *slog.Logger
 	// Done is closed when the agent has ended.
 	Done <-chan struct{}
@@ -45,7 +47,7 @@
 
 // New returns a server that is not serving yet.
 func New(o Options) *Server {
-	listener := newListener(o.Metrics, o.Memory, o.MaxEvicted)
+	listener := newListener(o.Metrics, o.Memory, o.MaxEvicted, o.Scheduler)
 	drain := &drainer{listener: listener, done: o.Done, log: o.Log}
 	handler := &clientHandler{
 		dispatcher: o.Dispatcher, metrics: o.Metrics, listener: listener, buffers: o.Buffers, memory: o.Memory,
--- a/internal/inbound/socketbuffers.go
+++ b/internal/inbound/socketbuffers.go
@@ -38,7 +38,10 @@
 
 // MaxUnread implements stream.ArrivalClock: the bytes in the receive queue, and as many as the client's send buffer can
 // hold.
-func (c *clientConn) MaxUnread() int64 {
+func (c *clientConn) MaxUnread() int64 { return c.unreadBytes() + maxSendBuffer() }
+
+// unreadBytes returns the number of bytes in the receive queue.
+func (c *clientConn) unreadBytes() int64 {
 	queued := int32(0)
 	if err := c.raw.Control(func(fd uintptr) {
 		// SIOCINQ has the value of TIOCINQ. If the call fails, queued stays 0.
@@ -46,7 +49,7 @@
 	}); err != nil {
 		return 0
 	}
-	return int64(queued) + maxSendBuffer()
+	return int64(queued)
 }
 
 // limitReceiveBuffer limits the receive buffer for a long body. If that fails, the body is merely given up earlier.
--- a/internal/inbound/upload_test.go
+++ b/internal/inbound/upload_test.go
@@ -169,7 +169,7 @@
 		t.Fatal(err)
 	}
 	defer accepted.Close()
-	c, err := newClientConn(accepted.(*net.TCPConn), newListener(&metrics.Metrics{}, nil, 0))
+	c, err := newClientConn(accepted.(*net.TCPConn), newListener(&metrics.Metrics{}, nil, 0, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/metrics/log.go
+++ b/internal/metrics/log.go
@@ -27,6 +27,7 @@
 			slog.Group("hedges", "sent", since.pollHedges, "ended_poll", since.pollsEndedByHedge))
 	}
 	since.logAttempts(log)
+	since.logHops(log)
 	logMemory(log)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -84,6 +84,7 @@
 	pollsEndedByHedge  int
 	slowestPoll        time.Duration // in excess of the poll's permitted wait
 	slowestLoop        time.Duration
+	slowestHops        [hopCount]time.Duration
 }
 
 // count updates the interval counters under the mutex.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -53,6 +53,9 @@
 		}
 		i.slowestPoll = 1234567 * time.Microsecond
 		i.slowestLoop = 1234567 * time.Microsecond
+		for hop := range i.slowestHops {
+			i.slowestHops[hop] = 1234567 * time.Microsecond
+		}
 		for outcome := range i.outcomes {
 			i.outcomes[outcome] = large
 		}
@@ -63,8 +66,8 @@
 	m.counters.attempts = 1_000_000
 	m.Log(log, 1000, 1000)
 	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
-	if len(lines) != 7 {
-		t.Errorf("got %d lines, want 7", len(lines))
+	if len(lines) != 8 {
+		t.Errorf("got %d lines, want 8", len(lines))
 	}
 	if memory := lines[len(lines)-1]; !strings.Contains(memory, "msg=memory") || strings.Contains(memory, "held_kb=0 ") {
 		t.Errorf("got the last line %s, want what the process holds", memory)
--- a/internal/stream/download.go
+++ b/internal/stream/download.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"runtime"
 	"time"
+
+	"example.org/ryeloft/internal/fairshare"
 )
 
 // maxResponsePause is how long a server may pause within a download. Servers that work pause for seconds, and cutting off
@@ -25,6 +27,7 @@
 	conn   ReadDeadliner
 	abort  func()
 	onEnd  func(error)
+	server *fairshare.Account // that reads are charged to
 }
 
 // NewDownload returns a download of the given length, negative if unknown, whose prefix has already been read into memory
@@ -38,6 +41,9 @@
 // OnEnd sets the function that Finish calls with its argument. It must be set before the download is passed on.
 func (d *Download) OnEnd(onEnd func(error)) { d.onEnd = onEnd }
 
+// ChargeReads sets the account that reads from the server are charged to. It must be called before the download is passed on.
+func (d *Download) ChargeReads(server *fairshare.Account) { d.server = server }
+
 // Length returns the length that the server has declared, or a negative number if it has not.
 func (d *Download) Length() int64 { return d.length }
 
@@ -55,8 +61,9 @@
 
 // CopyTo copies the response to its client at the client's pace, and calls Finish. It returns the error that
 // interrupted the copy, which wraps ErrNotRead if the response could not be written to the client. The context ends
-// when the client closes its connection; CopyTo then aborts the download.
-func (d *Download) CopyTo(ctx context.Context, w http.ResponseWriter, buffers *Buffers) (err error) {
+// when the client closes its connection; CopyTo then aborts the download. Writes wait for processor time, and are charged
+// to the client's account.
+func (d *Download) CopyTo(ctx context.Context, w http.ResponseWriter, buffers *Buffers, client *fairshare.Account) (err error) {
 	defer func() { d.Finish(err) }()
 	defer context.AfterFunc(ctx, d.abort)()
 	// The head is flushed by itself, because that takes more stack than any later write. From here it fits into 8 KiB.
@@ -66,6 +73,7 @@
 	if err := writeAndFlush(w, d.prefix); err != nil {
 		return err
 	}
+	client.Pause()
 	d.dropPrefix()
 	buffer, release := restBuffer(buffers)
 	defer release()
@@ -74,10 +82,14 @@
 			return err
 		}
 		n, err := d.source.Read(buffer)
+		d.server.Pause()
 		if n > 0 {
+			client.Await()
+			client.Start()
 			if err := writeAndFlush(w, buffer[:n]); err != nil {
 				return err
 			}
+			client.Pause()
 			runtime.Gosched() // see the package comment
 		}
 		if err == io.EOF {
--- a/internal/stream/download_test.go
+++ b/internal/stream/download_test.go
@@ -54,7 +54,7 @@
 			client := deadlineRecorder{httptest.NewRecorder()}
 			d := NewDownload(-1, []byte("first "), nil, agent, pipeEnd{agent}, func() { agent.Close() })
 			ended := awaitEnd(d)
-			if err := d.CopyTo(t.Context(), client, NewBuffers(1)); err != nil || client.Body.String() != "first piecepiecepiece" {
+			if err := d.CopyTo(t.Context(), client, NewBuffers(1), nil); err != nil || client.Body.String() != "first piecepiecepiece" {
 				t.Errorf("pauses of %v: got %q and error %v, want the whole response", pause, client.Body.String(), err)
 			}
 			if err := <-ended; err != nil {
@@ -67,7 +67,7 @@
 		go func() { _, _ = io.WriteString(server, "piece") }()
 		start := time.Now()
 		d := NewDownload(-1, nil, nil, agent, pipeEnd{agent}, func() { agent.Close() })
-		err := d.CopyTo(t.Context(), deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1))
+		err := d.CopyTo(t.Context(), deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1), nil)
 		if took := time.Since(start); !errors.Is(err, os.ErrDeadlineExceeded) || took > time.Minute {
 			t.Errorf("server hangs: got error %v after %v, want a timeout within a minute", err, took)
 		}
@@ -93,7 +93,7 @@
 			}()
 			d := NewDownload(100, nil, nil, agent, agent, func() { agent.Close() })
 			ended := awaitEnd(d)
-			_ = d.CopyTo(ctx, deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1))
+			_ = d.CopyTo(ctx, deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1), nil)
 			if err := <-ended; err == nil || errors.Is(err, ErrNotRead) != leaves {
 				t.Errorf("client leaves %v: the attempt got error %v", leaves, err)
 			}
@@ -112,7 +112,7 @@
 		reserved, _ := memory.TryReserve(64 << 10)
 		d := NewDownload(-1, make([]byte, 64<<10), reserved, agent, pipeEnd{agent}, func() { agent.Close() })
 		ended := make(chan error, 1)
-		go func() { ended <- d.CopyTo(t.Context(), deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1)) }()
+		go func() { ended <- d.CopyTo(t.Context(), deadlineRecorder{httptest.NewRecorder()}, NewBuffers(1), nil) }()
 		synctest.Wait() // until the rest is awaited
 		if used != 0 || d.prefix != nil {
 			t.Errorf("got %d bytes reserved and %d kept while the rest is awaited, want none", used, len(d.prefix))
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/ryeloft/internal/clock"
+	"example.org/ryeloft/internal/fairshare"
 )
 
 // Upload is a request body that is too long to be buffered, passed from a client to a server. It is sent at most once:
@@ -26,7 +27,8 @@
 	length      int64  // negative if unknown
 	prefix      []byte // the bytes read before the upload was created
 	client      ArrivalClock
-	lastArrival time.Time // when the client was last known to be sending; used by the attempt only
+	account     *fairshare.Account // that reads are charged to
+	lastArrival time.Time          // when the client was last known to be sending; used by the attempt only
 	buffers     *Buffers
 	buffer      []byte
 	received    int64       // bytes of the body, without the prefix
@@ -55,6 +57,9 @@
 	}
 }
 
+// ChargeReads sets the account that reads from the client are charged to. It must be called before the first attempt.
+func (u *Upload) ChargeReads(account *fairshare.Account) { u.account = account }
+
 // Length returns the length that the client has declared, or a negative number if it has not.
 func (u *Upload) Length() int64 { return u.length }
 
@@ -125,6 +130,7 @@
 		return 0, ErrClosed
 	}
 	n, err := u.source.Read(b)
+	u.account.Pause() // the server is waited for next
 	if err == io.EOF && !u.complete.Swap(true) {
 		u.OnComplete()
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/stream"
 )
 
@@ -23,6 +24,7 @@
 // the pool while it is idle.
 type conn struct {
 	net.Conn
+	account   *fairshare.Account
 	endpoint  *Endpoint
 	buffered  *bufio.Reader // nil unless a response is being read
 	head      responseHead
@@ -58,11 +60,13 @@
 // Read reads from the connection and returns its first error, other than a timeout, on every later call. The kernel
 // reports a reset only once and end of file from then on, so after a reset a response that is delimited by the end of
 // its connection would look complete to the next read. Read also follows the head of a response, and fails if it is too
-// large.
+// large. It waits for processor time if the server has used much.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
+	c.account.Await()
+	defer c.account.Start()
 	n, err := c.Conn.Read(b)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,6 +49,8 @@
 	PauseUntil time.Time
 	// Abandoned reports whether nobody waits for the response any more; nil means never.
 	Abandoned func() bool
+	// OnWritten is called when the request has been written or nothing more of it will be; nil for none.
+	OnWritten func()
 	// LoadFields are the field names that a load report may contain.
 	LoadFields []string
 	// OnStreaming is called before any of an upload is sent.
@@ -85,26 +87,41 @@
 // A request waits here for its response, so results are passed by reference: with copies of them in each frame the stack
 // would not fit into 4 KiB.
 func (p *Pool) Exchange(ctx context.Context, e *Endpoint, r *Request, a *Attempt) *Result {
+	x, failed := p.send(ctx, e, r, a)
+	if a.OnWritten != nil {
+		a.OnWritten()
+	}
+	if failed != nil {
+		return failed
+	}
+	if !r.healthCheck {
+		p.metrics.AttemptSent()
+	}
+	return x.receive()
+}
+
+// send writes a request to a server. If that fails, it returns the result.
+func (p *Pool) send(ctx context.Context, e *Endpoint, r *Request, a *Attempt) (x *exchange, failed *Result) {
+	if a.Abandoned != nil && a.Abandoned() {
+		return nil, resultOfError(ctx, errAbandoned, writtenNothing)
+	}
 	c, err := p.get(ctx, e)
 	if err != nil {
-		return resultOfError(ctx, err, writtenNothing)
+		return nil, resultOfError(ctx, err, writtenNothing)
 	}
-	x := &exchange{
+	x = &exchange{
 		ctx: ctx, pool: p, conn: c, attempt: a,
 		unwatch: context.AfterFunc(ctx, func() { c.Close() }), // unblocks a pending read or write
 	}
 	if err := checkSendable(e, r, a); err != nil {
 		x.release(true)
-		return resultOfError(ctx, err, writtenNothing)
+		return nil, resultOfError(ctx, err, writtenNothing)
 	}
 	if err := c.writeRequest(r, a); err != nil {
 		x.release(false)
-		return resultOfError(ctx, err, writtenPart)
-	}
-	if !r.healthCheck {
-		p.metrics.AttemptSent()
+		return nil, resultOfError(ctx, err, writtenPart)
 	}
-	return x.receive()
+	return x, nil
 }
 
 // resultOfError returns the result of an exchange that failed.
@@ -118,6 +135,7 @@
 
 // release returns the connection to the pool, or closes it unless it may be reused.
 func (x *exchange) release(reusable bool) {
+	x.conn.account.Pause()
 	if x.unwatch() && reusable {
 		x.pool.put(x.conn)
 	} else {
@@ -185,6 +203,8 @@
 	closes := response.head.Close
 	download := stream.NewDownload(response.head.ContentLength, response.body, response.memory, response.rest, x.conn,
 		func() { x.conn.Close() })
+	x.conn.account.Pause()
+	download.ChargeReads(x.conn.account)
 	download.OnEnd(func(err error) {
 		if err != nil {
 			result = x.fail(err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"example.org/ryeloft/internal/fairshare"
 	"example.org/ryeloft/internal/metrics"
 	"example.org/ryeloft/internal/settings"
 	"example.org/ryeloft/internal/stream"
@@ -44,6 +45,8 @@
 type Pool struct {
 	metrics *metrics.Metrics
 	memory  *stream.Memory // for the heads of responses and for buffered responses
+	// scheduler shares the processor between the connections; nil if none waits for it.
+	scheduler *fairshare.Scheduler
 
 	mu             sync.Mutex
 	connectTimeout time.Duration
@@ -61,6 +64,9 @@
 	return p
 }
 
+// ShareProcessor has the connections wait for processor time. It must be called before the pool is used.
+func (p *Pool) ShareProcessor(s *fairshare.Scheduler) { p.scheduler = s }
+
 // Configure applies the connection settings.
 func (p *Pool) Configure(s *settings.Settings) {
 	p.mu.Lock()
@@ -209,7 +215,9 @@
 		return nil, err
 	}
 	p.metrics.ConnectionDialed()
-	return newConn(raw, e, p.memory), nil
+	c := newConn(raw, e, p.memory)
+	c.account = p.scheduler.Dialed()
+	return c, nil
 }
 
 // reserve counts a connection that is about to be opened, and returns the dialer for it.
