--- a/cmd/agent/budgets_test.go
+++ b/cmd/agent/budgets_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -37,8 +40,8 @@
 	// clientsHost is the address from which clients in a hurry connect. Peers have others, as there is one range of ports for each.
 	clientsHost = "127.0.0.2"
 
-	timeWithoutPeers = 1500 * time.Millisecond
-	timeBesidePeers  = 2500 * time.Millisecond
+	timeWithoutPeers = time.Second
+	timeBesidePeers  = 2 * time.Second
 )
 
 // budgetCounts counts the answers that clients in a hurry got.
@@ -160,10 +163,17 @@
 	return resp.StatusCode, err
 }
 
-// newWorkingServers starts servers that need a while for each request whose path ends in work.
+// newWorkingServers starts servers that need a while for each request whose path ends in work, and answer as one of
+// serverFloods if it ends in flood and its number.
 func newWorkingServers(t *testing.T, n int) string {
 	return newServersWith(t, n, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // fails if the agent breaks the connection
+		for i := range serverFloods {
+			if strings.HasSuffix(r.URL.Path, fmt.Sprintf("flood%d", i)) {
+				answerWithoutEnd(w, i)
+				return
+			}
+		}
 		if strings.HasSuffix(r.URL.Path, "work") {
 			time.Sleep(minWork + rand.N(maxWork-minWork))
 		}
@@ -171,6 +181,44 @@
 	})
 }
 
+// answerWithoutEnd answers as one of serverFloods, until the agent closes the connection.
+func answerWithoutEnd(w http.ResponseWriter, flood int) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	more := strings.Repeat(serverFloods[flood].more, pipelineBytes/len(serverFloods[flood].more))
+	_, err = io.WriteString(c, serverFloods[flood].begin)
+	for err == nil {
+		_, err = io.WriteString(c, more)
+	}
+}
+
+// newFloodingListService starts a discovery service that answers each call at once with a list of members that changes each
+// time, as long as lists may be.
+func newFloodingListService(t *testing.T, members string) (addr string) {
+	var others strings.Builder
+	for i := range 1000 {
+		fmt.Fprintf(&others, `,{"id":"other%d","host_port":"127.0.0.1:1","phase":"Terminating"}`, i)
+	}
+	var revision, quiet atomic.Int64
+	began := time.Now()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if time.Since(began) < timeWithoutPeers && r.URL.RawQuery != "" {
+			quiet.Add(1)
+			time.Sleep(time.Until(began.Add(timeWithoutPeers)))
+		}
+		fmt.Fprintf(w, `{"revision":%d,"complete":true,"members":[%s%s]}`, revision.Add(1), members, &others)
+	}))
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+		t.Logf("%d lists sent, %d calls waited for the peers", revision.Load(), quiet.Load())
+	})
+	return s.Listener.Addr().String()
+}
+
 // compareWithPeers runs clients in a hurry without peers and then beside them, and checks that they are answered in time and
 // served as before.
 func (a *limitedAgent) compareWithPeers(startPeers func(ctx context.Context)) {
@@ -224,6 +272,61 @@
 	}
 }
 
+// Guards against servers, callers of the console and discovery that send at full speed, and thereby keep the agent's only core
+// from answering sound clients within their budgets.
+func TestServersAndOperatorsAtFullSpeedDelayNobody(t *testing.T) {
+	if testing.Short() {
+		t.Skip("peers at full speed take too long with the race detector")
+	}
+	l := limits{32, 256}
+	for _, way := range serverWays() {
+		t.Run("servers/"+way.name, func(t *testing.T) {
+			a := startHurriedAgent(t, l)
+			a.compareWithPeers(func(ctx context.Context) { startPeers(ctx, t, a.listen, 8, []peerWay{way}) })
+		})
+	}
+	for _, way := range consoleWays {
+		t.Run("console/"+way.name, func(t *testing.T) {
+			a := startHurriedAgent(t, l)
+			a.compareWithPeers(func(ctx context.Context) { startPeers(ctx, t, a.console, 8, []peerWay{way}) })
+		})
+	}
+	t.Run("discovery", func(t *testing.T) {
+		a := startLimitedAgentWith(t, l, shortConfigText, newFloodingListService(t, newWorkingServers(t, 8)))
+		a.compareWithPeers(func(context.Context) {})
+	})
+}
+
+// Guards against an upgrade or a reload beside peers at full speed, in which sound clients are not answered in time.
+func TestUpgradeAndReloadBesidePeersAtFullSpeed(t *testing.T) {
+	if testing.Short() {
+		t.Skip("peers at full speed take too long with the race detector")
+	}
+	for _, l := range []limits{{32, 1024}, {32, 256}} {
+		t.Run(fmt.Sprintf("%d sockets/reload", l.sockets), func(t *testing.T) {
+			a := startHurriedAgent(t, l)
+			a.compareWithPeers(func(ctx context.Context) {
+				startPeers(ctx, t, a.listen, 8, peerWays)
+				go func() {
+					for ctx.Err() == nil {
+						time.Sleep(300 * time.Millisecond)
+						_ = a.cmd.Process.Signal(syscall.SIGHUP) // fails once the agent has ended
+					}
+				}()
+			})
+		})
+		t.Run(fmt.Sprintf("%d sockets/upgrade", l.sockets), func(t *testing.T) {
+			a := startHurriedAgent(t, l)
+			a.compareWithPeers(func(ctx context.Context) {
+				startPeers(ctx, t, a.listen, 8, peerWays)
+				old := a.cmd
+				a.cmd = a.start()
+				time.AfterFunc(500*time.Millisecond, func() { _ = old.Process.Signal(syscall.SIGTERM) }) // fails once the agent has ended
+			})
+		})
+	}
+}
+
 // startHurriedAgent starts an agent for clients in a hurry.
 func startHurriedAgent(t *testing.T, l limits) *limitedAgent {
 	return startLimitedAgentWith(t, l, shortConfigText, newListService(t, newWorkingServers(t, 8)))
--- a/cmd/agent/peers_test.go
+++ b/cmd/agent/peers_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -81,6 +82,41 @@
 	}},
 }
 
+// consoleWays are the ways of callers of the console.
+var consoleWays = []peerWay{
+	{"console calls", oneRequest(func() string { return "vars\n" })},
+	{"console calls that are unknown", oneRequest(func() string { return "unknown\n" })},
+	{"console connections left at once", func(c *net.TCPConn) {}},
+	{"console lines without end", func(c *net.TCPConn) {
+		for {
+			if _, err := io.WriteString(c, strings.Repeat("x", pipelineBytes)); err != nil {
+				return
+			}
+		}
+	}},
+}
+
+// serverFloods are the ways of servers to answer. Each writes a beginning, and then more again and again.
+var serverFloods = []struct{ name, begin, more string }{
+	{"informational responses", "", "HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n"},
+	{"chunks of one byte", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	{"bodies without end", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("b", 1000)},
+	{"fields without end", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+	{"second responses", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"},
+}
+
+// serverWays are the ways of clients that ask for these answers.
+func serverWays() (ways []peerWay) {
+	for i, flood := range serverFloods {
+		ways = append(ways, peerWay{flood.name, func(c *net.TCPConn) {
+			if _, err := io.WriteString(c, requestHead("GET", "read", fmt.Sprintf("flood%d", i), "\r\n")); err == nil {
+				_, _ = io.Copy(io.Discard, c)
+			}
+		}})
+	}
+	return ways
+}
+
 // discard reads and discards what arrives on a connection until it ends.
 func discard(c net.Conn) {
 	go func() { _, _ = io.Copy(io.Discard, c) }()
@@ -122,7 +158,7 @@
 		panic(err)
 	}
 	var ways []peerWay
-	for _, way := range peerWays {
+	for _, way := range slices.Concat(peerWays, consoleWays, serverWays()) {
 		if strings.Contains(names, "|"+way.name+"|") {
 			ways = append(ways, way)
 		}
--- a/internal/admin/console.go
+++ b/internal/admin/console.go
@@ -67,7 +67,10 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		conn = fairshare.NewConn(conn, c.scheduler.Accepted())
+		caller := c.scheduler.Accepted()
+		account.Pause()
+		caller.AwaitFirst() // not in a goroutine of its own, of which there could be any number
+		conn = fairshare.NewConn(conn, caller)
 		c.add(conn)
 		go func() {
 			defer c.remove(conn)
