--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -128,6 +128,20 @@
 	})
 }
 
+// Guards against new connections that wait although the processor is free, because others were expected to use it.
+func TestNewConnectionsStartAtOnceOnFreeProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeProcessor{}
+		s := newScheduler(1, p.time, ignoreWait)
+		for range 100 {
+			if s.Accepted().AwaitFirst() {
+				t.Fatal("a new connection had to wait")
+			}
+			time.Sleep(2 * minPause)
+		}
+	})
+}
+
 // Guards against a lost wake-up: several goroutines may wait for one account, as a handler does that writes while its
 // connection is being read.
 func TestSeveralGoroutinesWaitForOneAccount(t *testing.T) {
--- a/internal/fairshare/pool.go
+++ b/internal/fairshare/pool.go
@@ -25,6 +25,9 @@
 	p.left = min(maxSaved, max(-maxDebt, p.left+gained))
 	p.updated = now
 	p.cpu = cpu
+	if now.Sub(p.granted) >= minPause {
+		p.piecesHaveRun()
+	}
 	return p.left > p.expected || now.Sub(p.granted) >= maxPause
 }
 
