--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -137,7 +137,7 @@
 			if s.Accepted().AwaitFirst() {
 				t.Fatal("a new connection had to wait")
 			}
-			time.Sleep(2 * minPause)
+			time.Sleep(minPause)
 		}
 	})
 }
