Have slower answers not make the test's clients send less

Traced: no answer was late or missing, 1,776 of 1,779 sent were served in time, the slowest after 163 ms; but 10 clients that send every 40 ms, one request at a time, sent 1,779 instead of 2,000, as answers took longer than 40 ms beside the other run. What was not sent counted as not served.

50 clients now send every 200 ms, which is longer than a request may take, so 250 a second as before. The rate is that of the time for which they ran: starting a second process took part of it. All bounds are as they were: 20 ms, none missing, 95% of the rate in the same run.

--- a/cmd/agent/budgets_test.go
+++ b/cmd/agent/budgets_test.go
@@ -30,11 +30,12 @@
 	// minWork and maxWork are how long servers need.
 	minWork = 5 * time.Millisecond
 	maxWork = 30 * time.Millisecond
-	// requestInterval is how often each client in a hurry sends a request.
-	requestInterval = 40 * time.Millisecond
+	// requestInterval is how often each client in a hurry sends a request. It is longer than a request may take, so that
+	// slower answers do not make the clients send less.
+	requestInterval = maxBudget + latenessAllowed
 	// keptClients and newClients are how many clients in a hurry keep their connections, and use a new one for each request.
-	keptClients = 6
-	newClients  = 4
+	keptClients = 30
+	newClients  = 20
 	// waitLimit is how long a client in a hurry waits for an answer before it counts as missing.
 	waitLimit = 3 * time.Second
 	// clientsHost is the address from which clients in a hurry connect. Peers have others, as there is one range of ports for each.
@@ -231,6 +232,8 @@
 	var all sync.WaitGroup
 	all.Go(func() { a.measure(ctx, a.cmd) })
 	startPeers(ctx)
+	deadline, _ := ctx.Deadline()
+	besideTime := time.Until(deadline) // starting peers or another process takes a while
 	beside := a.hurriedClients(ctx)
 	all.Wait()
 	a.t.Logf("without peers: %v", before)
@@ -242,7 +245,7 @@
 		a.t.Errorf("beside peers: got %v; want none late or without an answer:\n%s", beside, strings.Join(beside.slow[:min(10, len(beside.slow))], "\n"))
 	}
 	rate := func(c *budgetCounts, d time.Duration) float64 { return float64(c.served) / d.Seconds() }
-	if got, want := rate(beside, timeBesidePeers), servedShare*rate(before, timeWithoutPeers); got < want {
+	if got, want := rate(beside, besideTime), servedShare*rate(before, timeWithoutPeers); got < want {
 		a.t.Errorf("beside peers: got %.0f requests served a second, want at least %.0f", got, want)
 	}
 	if a.mostResidentKB > a.limits.memoryMB<<10 || a.mostDescriptors > a.limits.sockets {
