--- a/internal/fairshare/conn.go
+++ b/internal/fairshare/conn.go
@@ -32,9 +32,6 @@
 	return raw
 }
 
-// Unwrap returns the connection that NewConn got.
-func (c *Conn) Unwrap() net.Conn { return c.Conn }
-
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if c.raw == nil {
