Have the test of repeated ids wait until the first request runs

It gave the first request 20 ms to reach a server before its client left. If that takes longer, the request is abandoned unsent, and its id is still refused, which is allowed: the test guards against two runs.

The client now leaves when a server has begun to run its request. What is wanted is unchanged: one run, and 409 the second time.

--- a/cmd/agent/leaving_test.go
+++ b/cmd/agent/leaving_test.go
@@ -46,6 +46,17 @@
 	return runs
 }
 
+// awaitRun waits until the request with an id has begun to run.
+func (l *runLog) awaitRun(t *testing.T, id string) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); len(l.runsOf(id)) == 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not run within %v", id, testTimeout)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // startRecordedAgent starts an agent whose servers record what they run, with a crowd of sound clients if it is to be busy.
 func startRecordedAgent(t *testing.T, busy bool) (*limitedAgent, *runLog) {
 	t.Helper()
@@ -129,7 +140,7 @@
 				t.Parallel()
 				a, log := startRecordedAgent(t, busy)
 				c := sendWithID(t, a.listen, "twice")
-				time.Sleep(20 * time.Millisecond)
+				log.awaitRun(t, "twice")
 				c.Close()
 				time.Sleep(again)
 				status := statusOf(sendWithID(t, a.listen, "twice"))
