Have two processes of an upgrade share the processor

Each process filled 80% of the configured cores by itself, so in an upgrade beside peers at full speed two of them wanted 160%.

The pool now has what all processes of the agent leave. The handover tells the scheduler the ids of the other processes, which it has from the socket between them (SO_PEERCRED), and the scheduler reads their processor time from the kernel. It does not matter which of them needs it.

Without this, TestProcessesShareOneTarget gets twice the target.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,7 +51,7 @@
 		}
 		defer console.Close()
 		go console.Serve() // returns when the console is closed
-		a.peers = handover.Join(handover.SocketPath(cfg.Name), a.quotas, a.loop.RequestIDs(), log)
+		a.peers = handover.Join(handover.SocketPath(cfg.Name), a.quotas, a.loop.RequestIDs(), a.scheduler, log)
 		defer a.peers.Close()
 		// Once the handover is closed, the peers assume that this process has no server connections left.
 		defer a.pool.Resize(0)
--- a/internal/fairshare/account.go
+++ b/internal/fairshare/account.go
@@ -45,7 +45,7 @@
 	a.beyondOwn = !a.used || a.own.saved(now) <= 0
 	switch {
 	case !a.beyondOwn:
-	case s.waiting() == 0 && s.pool.hasTime(now, s.cpu()):
+	case s.waiting() == 0 && s.poolHasTime(now):
 		s.pool.take(a.expected, now)
 	default:
 		granted = s.enqueue(a)
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -50,6 +50,7 @@
 	onWait func(wait time.Duration) // called when a piece starts that had to wait
 
 	mu     sync.Mutex
+	beside processes // of the same agent
 	pool   pool
 	opened list.List // of *waiter: first pieces of connections that peers have opened
 	others list.List // of *waiter: pieces beyond the share of their account
@@ -70,7 +71,15 @@
 }
 
 func newScheduler(cores float64, cpu func() time.Duration, onWait func(wait time.Duration)) *Scheduler {
-	return &Scheduler{cores: cores, cpu: cpu, onWait: onWait, pool: newPool(cores, cpu())}
+	return &Scheduler{cores: cores, cpu: cpu, onWait: onWait, pool: newPool(cores, cpu()), beside: processes{read: processorTimeOf}}
+}
+
+// SetOtherProcesses sets which other processes of the agent there are. They share its cores, so the pool has what all of
+// them leave.
+func (s *Scheduler) SetOtherProcesses(pids []int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beside.set(pids)
 }
 
 // Accepted returns an account for a connection that a peer has opened.
@@ -105,7 +114,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waiting() > 0 || !s.pool.hasTime(time.Now(), s.cpu())
+	return s.waiting() > 0 || !s.poolHasTime(time.Now())
+}
+
+// poolHasTime reports whether the pool has processor time for a piece of work. The caller holds the mutex.
+func (s *Scheduler) poolHasTime(now time.Time) bool {
+	return s.pool.hasTime(now, s.cpu()+s.beside.sum())
 }
 
 // waiting returns the number of pieces that wait. The caller holds the mutex.
@@ -138,7 +152,7 @@
 	defer s.mu.Unlock()
 	s.armed = false
 	s.pool.piecesHaveRun()
-	for now := time.Now(); s.waiting() > 0 && s.pool.hasTime(now, s.cpu()); {
+	for now := time.Now(); s.waiting() > 0 && s.poolHasTime(now); {
 		w := s.next()
 		s.pool.take(w.account.expected, now)
 		close(w.granted)
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -1,8 +1,10 @@
 package fairshare
 
 import (
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +67,54 @@
 	})
 }
 
+// Guards against two processes of an agent that each fill the processor: together they must take no more than the target, in
+// about equal parts.
+func TestProcessesShareOneTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		used := make([]fakeProcessor, 2)
+		end := time.Now().Add(time.Second)
+		var all sync.WaitGroup
+		for i := range used {
+			s := newScheduler(1, used[i].time, ignoreWait)
+			s.beside.read = func(pid int) (time.Duration, error) { return used[pid].time(), nil }
+			s.SetOtherProcesses([]int{1 - i})
+			for range 4 {
+				all.Go(func() { used[i].run(s.Accepted(), "work", 100*time.Microsecond, end) })
+			}
+		}
+		all.Wait()
+		target := time.Duration(targetShare * float64(time.Second))
+		if sum := used[0].used + used[1].used; sum > target+maxDebt || sum < target/2 {
+			t.Errorf("got %v of processor time in a second, want at most %v and at least half of it", sum, target+maxDebt)
+		}
+		if least, most := min(used[0].used, used[1].used), max(used[0].used, used[1].used); least < most*8/10 {
+			t.Errorf("got %v and %v of processor time, want about as much for each process", least, most)
+		}
+	})
+}
+
+// Guards against a process that has ended and still counts, or one that counts with what it used before.
+func TestEndedProcessUsesNothingMore(t *testing.T) {
+	used := map[int]time.Duration{1: time.Hour, 2: time.Hour}
+	p := processes{read: func(pid int) (time.Duration, error) {
+		if _, found := used[pid]; !found {
+			return 0, syscall.EINVAL
+		}
+		return used[pid], nil
+	}}
+	p.set([]int{1, 2, 3})
+	used[1] += time.Second
+	if got := p.sum(); got != time.Second {
+		t.Errorf("got %v used beside this process, want 1s", got)
+	}
+	delete(used, 1)
+	used[2] += time.Second
+	p.set(nil)
+	if got := p.sum(); got != 2*time.Second {
+		t.Errorf("got %v used beside this process, want 2s", got)
+	}
+}
+
 // Guards against a sound client that waits behind others: a connection within its share must never wait.
 func TestWorkWithinShareStartsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -171,6 +221,18 @@
 	}
 }
 
+// The processor time of another process must be that which it has used, and fail when there is no such process.
+func TestProcessorTimeOfOtherProcess(t *testing.T) {
+	own := processorTime()
+	if used, err := processorTimeOf(os.Getpid()); err != nil || used < own {
+		t.Errorf("got %v and error %v, want at least %v", used, err, own)
+	}
+	const noProcess = 1 << 25 // more than the kernel gives
+	if used, err := processorTimeOf(noProcess); err == nil {
+		t.Errorf("no process: got %v, want an error", used)
+	}
+}
+
 // Accounts of no scheduler must never wait.
 func TestNoScheduler(t *testing.T) {
 	var s *Scheduler
--- a/internal/fairshare/pool.go
+++ b/internal/fairshare/pool.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// pool is the processor time that is left of targetShare. What the process uses for anything is taken from it. It may be
-// overdrawn.
+// pool is the processor time that is left of targetShare. What the agent's processes use for anything is taken from it. It
+// may be overdrawn.
 type pool struct {
 	cores    float64
 	left     time.Duration
 	expected time.Duration // what pieces cost that have just started, of which the process may have used nothing yet
 	updated  time.Time
-	cpu      time.Duration // the processor time that the process had used by then
+	cpu      time.Duration // the processor time that the processes had used by then
 	granted  time.Time     // when a piece last started
 }
 
@@ -18,8 +18,8 @@
 	return pool{cores: cores, left: maxSaved, updated: now, cpu: cpu, granted: now}
 }
 
-// hasTime reports whether a piece may start at a time when the process has used the given processor time. Whatever the
-// process does, a piece may start every maxPause.
+// hasTime reports whether a piece may start at a time when the processes have used the given processor time. Whatever
+// they do, a piece may start every maxPause.
 func (p *pool) hasTime(now time.Time, cpu time.Duration) bool {
 	gained := time.Duration(float64(now.Sub(p.updated))*p.cores*targetShare) - (cpu - p.cpu)
 	p.left = min(maxSaved, max(-maxDebt, p.left+gained))
--- a/internal/handover/claims_test.go
+++ b/internal/handover/claims_test.go
@@ -40,11 +40,11 @@
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384}
 	path := filepath.Join(t.TempDir(), "l")
 	olderIDs, newerIDs := &fakeIDs{}, &fakeIDs{}
-	older := Join(path, quotasFor(cfg), olderIDs, agenttest.DiscardLogger)
+	older := Join(path, quotasFor(cfg), olderIDs, &fakeProcessor{}, agenttest.DiscardLogger)
 	if err := older.Announce(); err != nil {
 		t.Fatal(err)
 	}
-	newer := Join(path, quotasFor(cfg), newerIDs, agenttest.DiscardLogger)
+	newer := Join(path, quotasFor(cfg), newerIDs, &fakeProcessor{}, agenttest.DiscardLogger)
 	defer newer.Close()
 	await(t, "the older process answers claims", newer.answersClaims)
 	const first, last = 1, 100
@@ -72,12 +72,12 @@
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384}
 	path := filepath.Join(t.TempDir(), "l")
 	ids := &fakeIDs{}
-	older := Join(path, quotasFor(cfg), ids, agenttest.DiscardLogger)
+	older := Join(path, quotasFor(cfg), ids, &fakeProcessor{}, agenttest.DiscardLogger)
 	defer older.Close()
 	if err := older.Announce(); err != nil {
 		t.Fatal(err)
 	}
-	newer := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+	newer := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 	newer.Close()
 	await(t, "the claims are dropped", func() bool {
 		ids.mu.Lock()
@@ -105,7 +105,7 @@
 				t.Fatal(err)
 			}
 			defer l.Close()
-			newer := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+			newer := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 			other, err := l.Accept()
 			if err != nil {
 				t.Fatal(err)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -40,9 +40,10 @@
 // Handover is this process's side of a handover. When a connection ends, for whatever reason, the process at its other
 // end counts as ended.
 type Handover struct {
-	path string
-	ids  RequestIDs
-	log  *slog.Logger
+	path      string
+	ids       RequestIDs
+	processor Processor
+	log       *slog.Logger
 
 	mu       sync.Mutex
 	quotas   *Quotas
@@ -54,6 +55,7 @@
 
 // peerProcess is another running process of the agent. The Handover's mutex guards it.
 type peerProcess struct {
+	pid           int                  // 0 if it is not known
 	newer         bool                 // it started after this process
 	ready         bool                 // it accepts clients
 	releasesQuota bool                 // it has sent a release line, even one with no slots
@@ -70,8 +72,8 @@
 
 // Join connects to the process that is already running, if there is one. A socket file left behind by a killed process
 // counts as no process, because nothing listens on it.
-func Join(path string, quotas *Quotas, ids RequestIDs, log *slog.Logger) *Handover {
-	h := &Handover{path: path, quotas: quotas, ids: ids, log: log, peers: map[net.Conn]*peerProcess{}}
+func Join(path string, quotas *Quotas, ids RequestIDs, processor Processor, log *slog.Logger) *Handover {
+	h := &Handover{path: path, quotas: quotas, ids: ids, processor: processor, log: log, peers: map[net.Conn]*peerProcess{}}
 	if conn, err := net.DialTimeout("unix", path, socketTimeout); err == nil {
 		h.addPeer(conn, false)
 	}
@@ -169,9 +171,10 @@
 
 // addPeer adds another process and starts the goroutines that serve its connection until it ends.
 func (h *Handover) addPeer(conn net.Conn, newer bool) {
-	p := &peerProcess{newer: newer, claims: map[uint64]chan bool{}}
+	p := &peerProcess{pid: pidOf(conn), newer: newer, claims: map[uint64]chan bool{}}
 	h.mu.Lock()
 	h.peers[conn] = p
+	h.shareProcessor()
 	processes := 1 + len(h.peers)
 	if newer {
 		h.quotas.split(processes)
@@ -205,6 +208,7 @@
 		h.ids.DropClaims()
 	}
 	delete(h.peers, conn)
+	h.shareProcessor()
 	processes := 1 + len(h.peers)
 	var err error
 	if h.ready && !h.leaving {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -20,7 +20,7 @@
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384} // memory limit too high to affect the tests
 	one, two := LimitsFor(cfg, 1), LimitsFor(cfg, 2)
 	join := func() *Handover {
-		h := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+		h := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 		t.Cleanup(h.Close)
 		return h
 	}
--- a/internal/handover/memory_test.go
+++ b/internal/handover/memory_test.go
@@ -86,7 +86,7 @@
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	path := filepath.Join(t.TempDir(), "l")
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384}
-	h := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+	h := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 	defer h.Close()
 	if err := h.Announce(); err != nil {
 		t.Fatal(err)
--- a/internal/handover/quota_test.go
+++ b/internal/handover/quota_test.go
@@ -143,7 +143,7 @@
 				t.Fatal(err)
 			}
 			defer l.Close()
-			newer := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+			newer := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 			defer newer.Close()
 			other, err := l.Accept()
 			if err != nil {
@@ -185,7 +185,7 @@
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	path := filepath.Join(t.TempDir(), "l")
 	cfg := &config.Config{MemoryMB: 1 << 20, Sockets: 384}
-	older := Join(path, quotasFor(cfg), &fakeIDs{}, agenttest.DiscardLogger)
+	older := Join(path, quotasFor(cfg), &fakeIDs{}, &fakeProcessor{}, agenttest.DiscardLogger)
 	defer older.Close()
 	if err := older.Announce(); err != nil {
 		t.Fatal(err)
