Send long heads in a burst too

Suspected cost of the shared processor: requests with long heads take turns while they are read, so that more of them hold memory and others are rejected.

The burst of 60 is now a case of TestBurstsOfSoundClientsAtFullSpeed.

--- a/cmd/agent/bursts_test.go
+++ b/cmd/agent/bursts_test.go
@@ -17,6 +17,8 @@
 	burstConnections   = 4
 	pipelinedRequests  = 100
 	crowdBudget        = time.Second
+	longHeadClients    = 60
+	longHeadBytes      = 30_000
 	burstUploads       = 4
 	burstUploadBytes   = 8 << 20
 	readinessInterval  = 50 * time.Millisecond
@@ -26,7 +28,7 @@
 )
 
 // Guards against a share of the processor that is too small for what sound clients send in bursts: pipelined requests, a
-// crowd that connects at once, long uploads. Readiness checks are answered meanwhile.
+// crowd that connects at once, long heads, long uploads. Readiness checks are answered meanwhile.
 func TestBurstsOfSoundClientsAtFullSpeed(t *testing.T) {
 	if testing.Short() {
 		t.Skip("bursts take too long with the race detector")
@@ -35,7 +37,7 @@
 		for _, burst := range []struct {
 			name string
 			send func(t *testing.T, a *limitedAgent) (failed int64)
-		}{{"pipelines", sendPipelines}, {"crowd", sendCrowd}, {"uploads", sendUploads}} {
+		}{{"pipelines", sendPipelines}, {"crowd", sendCrowd}, {"long heads", sendLongHeads}, {"uploads", sendUploads}} {
 			t.Run(fmt.Sprintf("%d sockets/%s", l.sockets, burst.name), func(t *testing.T) {
 				a := startLimitedAgent(t, l, newListService(t, newWorkingServers(t, 8)))
 				ctx, stop := context.WithCancel(t.Context())
@@ -148,6 +150,27 @@
 	return int64(clients*requestsAfterCrowd) - served.Load()
 }
 
+// sendLongHeads has clients connect at once and send a request with a long head each, and returns how many were not served.
+func sendLongHeads(_ *testing.T, a *limitedAgent) (failed int64) {
+	var served atomic.Int64
+	var all sync.WaitGroup
+	for range longHeadClients {
+		all.Go(func() {
+			c, err := dialSound(a.listen)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			head := requestHead("GET", "read", "work", fmt.Sprintf("X-Long: %s\r\n\r\n", strings.Repeat("x", longHeadBytes)))
+			if _, err := io.WriteString(c, head); err == nil && readStatus(c.in) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return longHeadClients - served.Load()
+}
+
 // sendUploads sends a few long bodies at once, and returns how many were not served.
 func sendUploads(_ *testing.T, a *limitedAgent) (failed int64) {
 	var served atomic.Int64
